Whole path: a call goes from a caller through gateways to a target

Cause: the repository was empty. Change: design page, tool configuration, sheet schema and validation, settings, logging, metrics, platform readers, peer protocol, fixed membership, routing and forwarding over node:http and undici, gateway daemon, stand-ins. Conclusion: the frame stands; failure handling follows.

--- /dev/null
+++ b/src/forwarding/events.ts
@@ -0,0 +1,9 @@
+import { defineEvents } from '../logging';
+
+/** Events of the forwarding module. */
+export const FORWARDING_EVENTS = defineEvents(1100, {
+  callRefused: { number: 1100, level: 'debug', message: 'call refused' },
+  answerTruncated: { number: 1101, level: 'info', message: 'answer ended early' },
+  malformedRequest: { number: 1102, level: 'info', message: 'malformed request refused' },
+  strangerRelay: { number: 1103, level: 'warn', message: 'relayed call without the peer secret' },
+});
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,92 @@
+import { Err, Ok, type Result } from 'ts-results';
+
+import { type Fleet } from '../fleet';
+import {
+  CallerListener,
+  ConnectionPools,
+  Forwarder,
+  type ForwarderContext,
+  RelayListener,
+} from '../forwarding';
+import { Lifecycle } from '../lifecycle';
+import { type DecisionLog, type EventLog } from '../logging';
+import { Router } from '../routing';
+import { type Clock, type Random } from '../runtime';
+import { type GatewaySettings } from '../settings';
+
+import { GATEWAY_EVENTS } from './events';
+import { listen, type ListenError } from './listen';
+
+/** What a gateway is made of besides its settings. */
+export interface GatewayParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly events: EventLog;
+  readonly decisions: DecisionLog;
+  readonly fleet: Fleet;
+}
+
+/** A running gateway. */
+export interface Gateway {
+  readonly callerPort: number;
+  readonly relayPort: number;
+  /** Closes all resources in reverse order of opening. */
+  close(): Promise<void>;
+}
+
+function makeContext(settings: GatewaySettings, parts: GatewayParts): ForwarderContext {
+  const router = new Router(parts.fleet, parts.clock, parts.random);
+  return {
+    hostId: settings['host-id'],
+    fleet: parts.fleet,
+    router,
+    clock: parts.clock,
+    decisions: parts.decisions,
+    targetPools: new ConnectionPools(),
+    relay: {
+      hostId: settings['host-id'],
+      peerSecret: settings['peer-secret'],
+      pools: new ConnectionPools(),
+      clock: parts.clock,
+      viewIsCurrent: () => router.viewIsCurrent(),
+      learn: (service, hostId, state) => router.learn(service, hostId, state),
+    },
+  };
+}
+
+/** Starts the listeners of one gateway process. */
+export async function startGateway(
+  settings: GatewaySettings,
+  parts: GatewayParts,
+): Promise<Result<Gateway, ListenError>> {
+  const lifecycle = new Lifecycle();
+  const context = makeContext(settings, parts);
+  lifecycle.own('target connections', () => context.targetPools.close());
+  lifecycle.own('relay connections', () => context.relay.pools.close());
+  const forwarder = new Forwarder(context);
+  const relay = new RelayListener(context, forwarder, parts.events);
+  const callers = new CallerListener(context, forwarder);
+  const { address } = settings;
+  const relayPort = await listen(relay.server, address, settings['relay-port'], lifecycle);
+  const callerPort = relayPort.ok
+    ? await listen(callers.server, address, settings['caller-port'], lifecycle)
+    : relayPort;
+  if (callerPort.err || relayPort.err) {
+    await lifecycle.close();
+    return Err((callerPort.err ? callerPort.val : relayPort.val) as ListenError);
+  }
+  parts.events.emit(GATEWAY_EVENTS.started, { port: callerPort.val });
+  return Ok({
+    callerPort: callerPort.val,
+    relayPort: relayPort.val,
+    close: async () => {
+      const errors = await lifecycle.close();
+      for (const error of errors) {
+        parts.events.emit(GATEWAY_EVENTS.closeFailed, {
+          resource: error.resource,
+          error: error.message,
+        });
+      }
+    },
+  });
+}
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,12 @@
+export * from './runtime';
+export * from './lifecycle';
+export * from './logging';
+export * from './metrics';
+export * from './settings';
+export * from './sheet';
+export * from './platform';
+export * from './fleet';
+export * from './outcomes';
+export * from './routing';
+export * from './forwarding';
+export { startGateway, type Gateway, type GatewayParts } from './gateway';
--- /dev/null
+++ b/src/lifecycle/index.ts
@@ -0,0 +1,2 @@
+export { Lifecycle } from './lifecycle';
+export { CloseError } from './closeError';
--- /dev/null
+++ b/src/runtime/index.ts
@@ -0,0 +1,8 @@
+export { type Clock } from './clock';
+export { type Timer } from './timer';
+export { SystemClock } from './systemClock';
+export { ManualClock } from './manualClock';
+export { waitUntil } from './waitUntil';
+export { type Random } from './random';
+export { SeededRandom } from './seededRandom';
+export { rendezvousChoice, rendezvousOrder } from './rendezvous';
--- /dev/null
+++ b/src/runtime/random.ts
@@ -0,0 +1,7 @@
+/** A source of pseudo-random numbers; passed as an argument so that runs can be repeated. */
+export interface Random {
+  /** A number in [0, 1). */
+  next(): number;
+  /** An integer in [0, `below`); `below` is at least 1. */
+  integer(below: number): number;
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,10 @@
+export { type SettingDefinition, type SettingTable, type SettingValues } from './settingDefinition';
+export {
+  readSettings,
+  variableOf,
+  type SettingsReading,
+  type SettingsSource,
+} from './readSettings';
+export { type SettingsError, formatSettingsError } from './settingsError';
+export { helpText } from './helpText';
+export { GATEWAY_SETTINGS, type GatewaySettings } from './gatewaySettings';
--- /dev/null
+++ b/src/sheet/checkedRow.ts
@@ -0,0 +1,20 @@
+import { type SectionName, type SectionRow } from './schema';
+
+/** A row that satisfies the schema of its section. */
+export type CheckedRow = {
+  [Name in SectionName]: {
+    readonly section: Name;
+    readonly row: number;
+    readonly value: SectionRow<Name>;
+  };
+}[SectionName];
+
+/** The rows of one section. */
+export function rowsOf<Name extends SectionName>(
+  rows: readonly CheckedRow[],
+  section: Name,
+): readonly Extract<CheckedRow, { section: Name }>[] {
+  return rows.filter(
+    (row): row is Extract<CheckedRow, { section: Name }> => row.section === section,
+  );
+}
--- /dev/null
+++ b/src/sheet/schema.ts
@@ -0,0 +1,129 @@
+import { z } from 'zod';
+
+// Limits that keep a mistyped figure from taking effect; all are far above the target size.
+const LARGEST_SLOTS = 10_000;
+const LARGEST_CONNECTIONS = 100_000;
+const LARGEST_TIME_LIMIT_MS = 120_000;
+const LARGEST_BODY_LIMIT_KB = 1_048_576;
+const LARGEST_PORT = 65_535;
+
+const name = z
+  .string()
+  .regex(
+    /^[a-z0-9][a-z0-9-]{0,62}$/,
+    'must be lower-case letters, digits and dashes, 1 to 63 long',
+  );
+const ipAddress = z.union([z.ipv4(), z.ipv6()], { error: 'must be an IP address' });
+const port = z.coerce.number().int().min(1).max(LARGEST_PORT);
+const yesOrNo = z
+  .enum(['yes', 'no'], { error: 'must be yes or no' })
+  .transform((value) => value === 'yes');
+const count = (smallest: number, largest: number) =>
+  z.coerce.number({ error: 'must be a number' }).int().min(smallest).max(largest);
+const amount = (smallest: number, largest: number) =>
+  z.coerce.number({ error: 'must be a number' }).min(smallest).max(largest);
+
+/** Row schemas of each section of a sheet; the single source of types, checks and docs/sheet.md. */
+export const SECTION_SCHEMAS = {
+  sheet: z.strictObject({
+    version: count(1, Number.MAX_SAFE_INTEGER).describe(
+      'Rises with each sheet; a lower one is never taken.',
+    ),
+    date: z.iso.date().describe('Day for which the sheet was exported, YYYY-MM-DD.'),
+    rain: yesOrNo.describe(
+      'yes when rain is forecast: priorities use rain_rank, and reserved room is kept.',
+    ),
+  }),
+  zones: z.strictObject({
+    zone: name.describe('Name of the availability zone.'),
+    region: name.describe('Region that the zone belongs to.'),
+  }),
+  hosts: z.strictObject({
+    host: name.describe('Id of the host; the same as the --host-id setting of its gateway.'),
+    zone: name.describe('Availability zone of the host.'),
+    address: ipAddress.describe('IP address of the host.'),
+    caller_port: port.describe('Port for callers.'),
+    relay_port: port.describe('Port for calls relayed by other hosts.'),
+    peer_port: port.describe('Port for control messages between hosts (gRPC).'),
+    operator_port: port.describe('Port for operators.'),
+  }),
+  services: z.strictObject({
+    service: name.describe('Name of the service; the first path segment of its calls.'),
+    class: name.describe('Priority class of calls that no operation names.'),
+    time_limit_ms: count(1, LARGEST_TIME_LIMIT_MS).describe(
+      'Longest time for a call, in milliseconds.',
+    ),
+    body_limit_kb: count(0, LARGEST_BODY_LIMIT_KB).describe(
+      'Largest request body, in KB of 1024 bytes.',
+    ),
+    retry_percent: amount(0, 100).describe(
+      'Retries and hedges, as a percentage of the calls of the last 10 s.',
+    ),
+    probes_per_second: amount(0, 100).describe(
+      'Probe budget of each target for the whole fleet, per second.',
+    ),
+  }),
+  targets: z.strictObject({
+    target: name.describe('Id of the target.'),
+    service: name.describe('Service that the target runs.'),
+    zone: name.describe('Availability zone of the target.'),
+    address: ipAddress.describe('IP address of the target.'),
+    port: port.describe('Port of the target.'),
+    slots: count(1, LARGEST_SLOTS).describe(
+      'Calls that the target runs at the same time when warm.',
+    ),
+    connections: count(1, LARGEST_CONNECTIONS).describe('Connections that the target accepts.'),
+    cold_limit: count(1, LARGEST_SLOTS).describe(
+      'Calls in flight that a cold target can carry, over the whole fleet.',
+    ),
+    cold_ms: count(0, LARGEST_TIME_LIMIT_MS * 10).describe(
+      'Shortest time that the target stays cold after a start, in milliseconds.',
+    ),
+  }),
+  operations: z.strictObject({
+    service: name.describe('Service of the operation.'),
+    method: z
+      .enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS', '*'], {
+        error: 'must be an HTTP method in capitals, or *',
+      })
+      .describe('HTTP method, or * for all.'),
+    path_prefix: z
+      .string()
+      .regex(/^\/\S*$/, 'must start with /')
+      .describe('Start of the path behind the service segment; the longest match counts.'),
+    class: name.describe('Priority class of the operation.'),
+    idempotent: yesOrNo.describe('yes when a repeat has no further effect.'),
+  }),
+  priorities: z.strictObject({
+    class: name.describe('Name of the priority class.'),
+    rank: count(0, 100).describe('Order in a queue on a dry day; 0 is served first.'),
+    rain_rank: count(0, 100).describe('Order in a queue when rain is forecast; 0 is served first.'),
+    reserved_percent: amount(0, 90).describe(
+      'Share of the slots kept for this class when rain is forecast, in percent.',
+    ),
+  }),
+} as const;
+
+/** Name of a section of a sheet. */
+export type SectionName = keyof typeof SECTION_SCHEMAS;
+
+/** Section names in the order in which they are written. */
+export const SECTION_NAMES = Object.keys(SECTION_SCHEMAS) as readonly SectionName[];
+
+/** A row of the given section, as the schema infers it. */
+export type SectionRow<Name extends SectionName> = Readonly<
+  z.output<(typeof SECTION_SCHEMAS)[Name]>
+>;
+
+/** An availability zone. */
+export type Zone = SectionRow<'zones'>;
+/** A host. */
+export type Host = SectionRow<'hosts'>;
+/** A service. */
+export type Service = SectionRow<'services'>;
+/** A target. */
+export type Target = SectionRow<'targets'>;
+/** An operation of a service. */
+export type Operation = SectionRow<'operations'>;
+/** A priority class. */
+export type Priority = SectionRow<'priorities'>;
--- /dev/null
+++ b/src/sheet/writeSheet.ts
@@ -0,0 +1,25 @@
+import { type CheckedRow } from './checkedRow';
+import { SECTION_NAMES, SECTION_SCHEMAS } from './schema';
+
+function writeCell(value: unknown): string {
+  if (value === true) return 'yes';
+  if (value === false) return 'no';
+  const text = String(value);
+  return /[",\n]/.test(text) ? `"${text.replaceAll('"', '""')}"` : text;
+}
+
+/** Writes rows in the canonical form: sections in order, columns of the schema, rows sorted. */
+export function writeSheet(rows: readonly CheckedRow[]): string {
+  const lines: string[] = [];
+  for (const section of SECTION_NAMES) {
+    const columns = Object.keys(SECTION_SCHEMAS[section].shape);
+    const written = rows
+      .filter((row) => row.section === section)
+      .map(({ value }) => {
+        const cells: Readonly<Record<string, unknown>> = value;
+        return columns.map((column) => writeCell(cells[column])).join(',');
+      });
+    lines.push(`[${section}]`, columns.join(','), ...written.sort());
+  }
+  return `${lines.join('\n')}\n`;
+}
