--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -97,11 +97,16 @@
     rules: {
       'no-console': 'off',
       'import-x/no-extraneous-dependencies': 'off',
+      // Tests and tools read small files before anything runs that could wait for them.
+      'n/no-sync': 'off',
     },
   },
   {
     files: ['*.js', 'bin/*.js', 'scripts/*.js'],
     rules: {
+      'n/no-sync': 'off',
+      'no-console': 'off',
+      'import-x/no-extraneous-dependencies': 'off',
       '@typescript-eslint/no-require-imports': 'off',
       'import-x/no-unresolved': 'off',
       'import-x/extensions': 'off',
--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,56 @@
+import { formatSettingsError, GATEWAY_SETTINGS, helpText, readSettings } from '../src/settings';
+
+const REQUIRED = {
+  LIMPETKNOT_HOST_ID: 'host-1',
+  LIMPETKNOT_ZONE: 'zone-1',
+  LIMPETKNOT_CONFIGURATION_URL: 'http://127.0.0.1:9000',
+  LIMPETKNOT_HOST_LIST_URL: 'http://127.0.0.1:9000',
+  LIMPETKNOT_PEER_SECRET: 'a-secret-for-tests-only',
+};
+
+// Guards against a flag that loses to the environment.
+test('a flag goes before the environment variable, and that before the default', () => {
+  const read = readSettings(GATEWAY_SETTINGS, {
+    arguments: ['--caller-port', '9001'],
+    environment: { ...REQUIRED, LIMPETKNOT_CALLER_PORT: '9002', LIMPETKNOT_RELAY_PORT: '9003' },
+  }).unwrap();
+  expect(read.values['caller-port']).toBe(9001);
+  expect(read.values['relay-port']).toBe(9003);
+  expect(read.values['peer-port']).toBe(8082);
+});
+
+// Guards against mistakes that are reported one start at a time.
+test('all mistakes are reported at once, with the name of the setting', () => {
+  const read = readSettings(GATEWAY_SETTINGS, {
+    arguments: ['--caller-port', 'many', '--peers', 'nowhere'],
+    environment: { LIMPETKNOT_HOST_ID: 'Host 1' },
+  });
+  const messages = read.err ? read.val.map(formatSettingsError) : [];
+  const names = messages.map((message) => message.split(' ')[0]);
+  expect(names).toEqual([
+    '--host-id',
+    '--zone',
+    '--caller-port',
+    '--configuration-url',
+    '--host-list-url',
+    '--peers',
+    '--peer-secret',
+  ]);
+});
+
+// Guards against a mistyped flag that is silently ignored.
+test('an unknown flag is a mistake', () => {
+  const read = readSettings(GATEWAY_SETTINGS, {
+    arguments: ['--caler-port', '1'],
+    environment: REQUIRED,
+  });
+  expect(read.err).toBe(true);
+});
+
+// Guards against settings that --help leaves out.
+test('the help text names each setting with its variable and default', () => {
+  const text = helpText(GATEWAY_SETTINGS);
+  for (const flag of Object.keys(GATEWAY_SETTINGS))
+    expect(text).toContain(`--${flag}, LIMPETKNOT_`);
+  expect(text).toContain("default '8080'");
+});
