--- a/test/logging.test.ts
+++ b/test/logging.test.ts
@@ -2,24 +2,19 @@
 
 import { BufferedWriter, DecisionLog, defineEvents } from '../src/logging';
 
-class SlowOutput extends Writable {
-  readonly blocks: string[] = [];
-
-  readonly pending: (() => void)[] = [];
-
-  constructor() {
-    super({ highWaterMark: 1, decodeStrings: false });
-  }
-
-  override _write(chunk: string, _encoding: string, done: () => void): void {
-    this.blocks.push(chunk);
-    this.pending.push(done);
-  }
-
-  /** Takes what was written and lets the next block come. */
-  drainOnce(): void {
-    this.pending.shift()?.();
-  }
+/** An output that takes a block only when it is told to. */
+function slowOutput() {
+  const blocks: string[] = [];
+  const pending: (() => void)[] = [];
+  const stream = new Writable({
+    highWaterMark: 1,
+    decodeStrings: false,
+    write: (chunk: string, _encoding, done) => {
+      blocks.push(chunk);
+      pending.push(done);
+    },
+  });
+  return { blocks, stream, drainOnce: () => pending.shift()?.() };
 }
 
 const DECISION = {
@@ -34,8 +29,8 @@
 
 // Guards against a decision log that blocks calls, or loses lines without counting them.
 test('lines beyond the capacity of a blocked output are dropped and counted', async () => {
-  const output = new SlowOutput();
-  const writer = new BufferedWriter(output, 100);
+  const output = slowOutput();
+  const writer = new BufferedWriter(output.stream, 100);
   const line = `${'x'.repeat(39)}\n`;
   for (let count = 0; count < 5; count += 1) writer.write(line);
   expect(writer.droppedLines()).toBe(3);
@@ -47,8 +42,8 @@
 
 // Guards against decision lines that bunyan's tools cannot read.
 test('a decision is one JSON line with the fields of a bunyan record', async () => {
-  const output = new SlowOutput();
-  const writer = new BufferedWriter(output);
+  const output = slowOutput();
+  const writer = new BufferedWriter(output.stream);
   const log = new DecisionLog(writer, 'limpetknot-gateway', 'host-1', () => new Date(0));
   log.record(DECISION);
   const closed = writer.close();
