--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -7,3 +7,5 @@
 export { type Fleet } from './fleet';
 export { FixedFleet } from './fixedFleet';
 export { assignOwners, groupOwners } from './ownership';
+export { type SheetSource, type SheetSourceError } from './sheetSource';
+export { MemorySheetSource } from './memorySheetSource';
