Add the gRPC transport and the agreement of the hosts

Cause: all hosts had to be members forever (FixedFleet); no zone order could be given. Change: heartbeats, votes, commits and releases over gRPC; single-decree Paxos for each epoch, view deadline, establishment, orders, automatic membership, ownership with handover.

--- /dev/null
+++ b/src/fleet/evaluateOrder.ts
@@ -0,0 +1,93 @@
+import { match } from 'ts-pattern';
+
+import { type Sheet } from '../sheet';
+
+import { type FleetRecord } from './fleetRecord';
+import { type Order, type Rejection } from './order';
+import { type RecordHistory } from './recordHistory';
+
+/** Fields of the record that orders change. */
+export type RecordChange = Partial<
+  Pick<FleetRecord, 'sheetVersion' | 'sheetFingerprint' | 'zonesOut' | 'members'>
+>;
+
+/** What an order means for the record in force. */
+export type OrderDecision =
+  | { readonly kind: 'change'; readonly change: RecordChange; readonly reason: string }
+  | { readonly kind: 'unchanged' }
+  | { readonly kind: 'rejected'; readonly rejection: Rejection };
+
+/** The state against which an order is evaluated. */
+export interface OrderBasis {
+  readonly record: FleetRecord;
+  readonly sheet: Sheet;
+  readonly history: RecordHistory;
+  /** Epoch in force when the order was first evaluated. */
+  readonly basisEpoch: number;
+}
+
+const UNCHANGED: OrderDecision = { kind: 'unchanged' };
+
+function rejected(kind: Rejection['kind'], detail: string): OrderDecision {
+  return { kind: 'rejected', rejection: { kind, detail } };
+}
+
+/** The record after the basis that moved the zone against the order; null when there is none. */
+function opposing(basis: OrderBasis, zone: string, wantedOut: boolean): string | null {
+  const first = basis.history.at(basis.basisEpoch);
+  if (first === undefined) return 'an order on a state that is no longer known';
+  let out = first.zonesOut.includes(zone);
+  for (const record of basis.history.after(basis.basisEpoch)) {
+    const isOut = record.zonesOut.includes(zone);
+    if (isOut !== out && isOut !== wantedOut) return `order ${record.orderId}`;
+    out = isOut;
+  }
+  return null;
+}
+
+function evaluateZone(
+  basis: OrderBasis,
+  zone: string,
+  out: boolean,
+  force: boolean,
+): OrderDecision {
+  const { record, sheet } = basis;
+  if (!sheet.zones.has(zone)) return rejected('invalid', `the sheet lists no zone ${zone}`);
+  const winner = opposing(basis, zone, out);
+  if (winner !== null) return rejected('conflict', `not accepted: ${winner} came first`);
+  if (record.zonesOut.includes(zone) === out) return UNCHANGED;
+  const zonesOut = out
+    ? [...record.zonesOut, zone].sort()
+    : record.zonesOut.filter((each) => each !== zone);
+  const left = [...sheet.zones.keys()].filter((each) => !zonesOut.includes(each));
+  if (left.length === 0 && !force) {
+    return rejected('last-zone', `${zone} is the last availability zone in service`);
+  }
+  return { kind: 'change', change: { zonesOut }, reason: `${zone} ${out ? 'out' : 'back'}` };
+}
+
+function evaluateSheet({ record }: OrderBasis, sheet: Sheet): OrderDecision {
+  if (sheet.fingerprint === record.sheetFingerprint) return UNCHANGED;
+  if (sheet.version <= record.sheetVersion) {
+    return rejected(
+      'conflict',
+      `not accepted: sheet version ${record.sheetVersion} of order ${record.orderId} is in force`,
+    );
+  }
+  const change = {
+    sheetVersion: sheet.version,
+    sheetFingerprint: sheet.fingerprint,
+    zonesOut: record.zonesOut.filter((zone) => sheet.zones.has(zone)),
+    members: record.members.filter((member) => sheet.hosts.has(member)),
+  };
+  return { kind: 'change', change, reason: `sheet version ${sheet.version}` };
+}
+
+/** Compares an order with the record in force. */
+export function evaluateOrder(order: Order, basis: OrderBasis): OrderDecision {
+  return match(order)
+    .with({ kind: 'zone-out' }, ({ zone, force }) => evaluateZone(basis, zone, true, force))
+    .with({ kind: 'zone-back' }, ({ zone }) => evaluateZone(basis, zone, false, false))
+    .with({ kind: 'load-sheet' }, ({ sheet }) => evaluateSheet(basis, sheet))
+    .exhaustive();
+}
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -9,3 +9,8 @@
 export { assignOwners, groupOwners } from './ownership';
 export { type SheetSource, type SheetSourceError } from './sheetSource';
 export { MemorySheetSource } from './memorySheetSource';
+export { type HandoverSource, type ReleasedState } from './handoverSource';
+export { type ReplicaParts } from './replicaParts';
+export { ReplicatedFleet } from './replicatedFleet';
+export { VIEW_LIFETIME_MS } from './timing';
+export { FLEET_EVENTS } from './events';
--- /dev/null
+++ b/src/fleet/peerAddresses.ts
@@ -0,0 +1,8 @@
+import { type PeerAddress } from '../peer';
+import { type Host } from '../sheet';
+
+/** Where the control messages of a host of the sheet go. */
+export function peerAddress(host: Host): PeerAddress {
+  const address = host.address.includes(':') ? `[${host.address}]` : host.address;
+  return { hostId: host.host, address: `${address}:${host.peer_port}` };
+}
--- /dev/null
+++ b/src/fleet/quorum.ts
@@ -0,0 +1,26 @@
+import { rendezvousOrder } from '../runtime';
+import { type Sheet } from '../sheet';
+
+const MOST_VOTERS = 17;
+
+/** The hosts whose majority decides while `sheet` is in force. */
+export function votersOf(sheet: Sheet): readonly string[] {
+  const hosts = [...sheet.hosts.keys()].sort();
+  if (hosts.length <= MOST_VOTERS) return hosts;
+  return rendezvousOrder('voters', hosts).slice(0, MOST_VOTERS);
+}
+
+/** Number of voters in the smallest majority. */
+export function majorityOf(voters: readonly string[]): number {
+  return Math.floor(voters.length / 2) + 1;
+}
+
+/** True when `hosts` contains a majority of each set of voters. */
+export function isQuorum(
+  voterSets: readonly (readonly string[])[],
+  hosts: ReadonlySet<string>,
+): boolean {
+  return voterSets.every(
+    (voters) => voters.filter((voter) => hosts.has(voter)).length >= majorityOf(voters),
+  );
+}
--- /dev/null
+++ b/src/fleet/vote.ts
@@ -0,0 +1,23 @@
+import { type Ballot } from './ballot';
+import { type FleetRecord } from './fleetRecord';
+
+/** Reply of a voter to a prepare or accept request. */
+export interface Vote {
+  readonly granted: boolean;
+  /** Highest ballot promised for the epoch. */
+  readonly promised: Ballot | null;
+  /** Record of the epoch that the voter accepted and has not committed. */
+  readonly accepted: FleetRecord | null;
+  /** The voter's committed record, when it is of this epoch or a later one. */
+  readonly committed: FleetRecord | null;
+  readonly reason: string;
+  /** Incarnation of the voter. */
+  readonly incarnation: string;
+}
+
+/** A host's copy of the fleet record. */
+export interface RecordState {
+  readonly established: boolean;
+  readonly committed: FleetRecord | null;
+  readonly accepted: FleetRecord | null;
+}
--- /dev/null
+++ b/src/peer/metrics.ts
@@ -0,0 +1,11 @@
+import { defineMetrics } from '../metrics';
+
+/** Metrics of the peer module. */
+export const PEER_METRICS = defineMetrics({
+  refused: {
+    name: 'peer.refused',
+    kind: 'counter',
+    unit: 'calls',
+    description: 'Control calls refused for a wrong secret or protocol version.',
+  },
+});
