--- a/src/fleet/replicatedFleet.ts
+++ b/src/fleet/replicatedFleet.ts
@@ -1,7 +1,8 @@
 import { type Result } from 'ts-results';
 
-import { type Sheet } from '../sheet';
+import { type BeatStatus } from '../peer';
 import { waitUntil } from '../runtime';
+import { type Sheet } from '../sheet';
 
 import { AutomaticChanges } from './automaticChanges';
 import { Changes } from './changes';
@@ -64,7 +65,11 @@
 
   /** Proposes a sheet that the configuration service published; a repeat changes nothing. */
   publish(sheet: Sheet): Promise<Result<Acceptance, Rejection>> {
-    return this.submit({ kind: 'load-sheet', id: `sheet-${sheet.version}-${sheet.fingerprint}`, sheet });
+    return this.submit({
+      kind: 'load-sheet',
+      id: `sheet-${sheet.version}-${sheet.fingerprint}`,
+      sheet,
+    });
   }
 
   /** True when this host may serve callers: it is established and its view is current. */
@@ -72,11 +77,16 @@
     return this.replica.isCurrent() && !this.replica.leaving;
   }
 
-  /** True when a majority of the voters was reached within the view lifetime. */
+  /** True when this host knows enough to vote. */
   isEstablished(): boolean {
     return this.replica.acceptor.established;
   }
 
+  /** What this host's heartbeats say. */
+  status(): BeatStatus {
+    return this.replica.status();
+  }
+
   /** Announces that this host leaves; resolves when its targets are handed over, or at `deadline`. */
   async leave(deadline: number): Promise<void> {
     const { clock, hostId } = this.parts;
--- /dev/null
+++ b/test/fleet/simNetwork.ts
@@ -0,0 +1,113 @@
+import { Err, Ok, type Result } from 'ts-results';
+
+import {
+  type Beat,
+  BEAT_INTERVAL_MS,
+  BeatLink,
+  type BeatStatus,
+  type PeerAddress,
+  type PeerError,
+  type PeerMethod,
+  type PeerMethods,
+  type PeerTransport,
+} from '../../src/peer';
+import { ManualClock, type Random } from '../../src/runtime';
+
+import { SimProcess } from './simProcess';
+
+const CALL_LIMIT_MS = 1000;
+
+/** An in-memory network with delays, drops, cuts in one direction, and pauses. */
+export class SimNetwork {
+  readonly clock = new ManualClock();
+
+  readonly processes = new Map<string, SimProcess>();
+
+  /** Directed pairs 'from to' that lose all messages. */
+  readonly cuts = new Set<string>();
+
+  dropRate = 0;
+
+  longestDelay = 5;
+
+  constructor(readonly random: Random) {}
+
+  cut(from: string, to: string): void {
+    this.cuts.add(`${from} ${to}`);
+  }
+
+  /** Runs `action` at `to` after a random delay, unless the message is lost. */
+  send(from: string, to: string, action: (receiver: SimProcess) => void): void {
+    const lost = this.cuts.has(`${from} ${to}`) || this.random.next() < this.dropRate;
+    if (lost) return;
+    const receiver = this.processes.get(to);
+    const at = this.clock.now() + 1 + this.random.integer(this.longestDelay);
+    this.clock.setTimer(at, () => receiver?.perform(() => action(receiver)));
+  }
+
+  call(
+    caller: SimProcess,
+    to: string,
+    perform: (receiver: SimProcess) => unknown,
+  ): Promise<Result<unknown, PeerError>> {
+    return new Promise((resolve) => {
+      const late = () => resolve(Err({ kind: 'deadline', detail: `${to} did not answer` }));
+      const timer = caller.setTimer(caller.now() + CALL_LIMIT_MS, late);
+      const answer = (value: unknown) =>
+        this.send(to, caller.hostId, () => {
+          timer.cancel();
+          if (this.processes.get(caller.hostId) === caller) resolve(Ok(value));
+        });
+      this.send(caller.hostId, to, (receiver) => {
+        Promise.resolve(perform(receiver)).then(answer, () => {});
+      });
+    });
+  }
+
+  transport(process: SimProcess): PeerTransport {
+    const beatAll = (beats: () => void) => {
+      beats();
+      process.setTimer(process.now() + BEAT_INTERVAL_MS, () => beatAll(beats));
+    };
+    return {
+      setPeers: (peers: readonly PeerAddress[]) => {
+        process.peers = peers.map((peer) => peer.hostId);
+      },
+      startBeats: (status: () => BeatStatus, receive: (beat: Beat) => void) => {
+        beatAll(() => this.beat(process, status, receive));
+      },
+      call: <Method extends PeerMethod>(
+        to: string,
+        method: Method,
+        request: PeerMethods[Method]['request'],
+      ) =>
+        this.call(process, to, (receiver) =>
+          receiver.handlers.get(method)!(request as never),
+        ) as Promise<Result<PeerMethods[Method]['reply'], PeerError>>,
+      fetchSheet: () => Promise.resolve(Err({ kind: 'failed', detail: 'not simulated' })),
+      handle: (method, handler) => process.handlers.set(method, handler),
+      handleFetchSheet: () => {},
+    };
+  }
+
+  /** One link for each pair of incarnations, as a new stream would be. */
+  private beat(process: SimProcess, status: () => BeatStatus, receive: (beat: Beat) => void): void {
+    const { hostId, incarnation } = process;
+    for (const peer of process.peers) {
+      const receiver = this.processes.get(peer);
+      if (receiver === undefined) continue;
+      let link = process.links.get(receiver.incarnation);
+      if (link === undefined) {
+        link = new BeatLink({ hostId, incarnation, clock: process, status, receive }, (beat) =>
+          this.send(hostId, peer, (current) => {
+            // The first heartbeat names its sender; here each one does, since any may be lost.
+            const named = { ...beat, hostId, incarnation };
+            if (current === receiver) receiver.links.get(incarnation)?.accept(named);
+          }),
+        );
+        process.links.set(receiver.incarnation, link);
+      }
+      link.beat();
+    }
+  }
+}
