Assign owners by region, and again only where members changed

Cause: in a fleet of several regions each region would have owned all targets, and a change of members computed the owner of every target anew. Change: assignOwners keeps to the zones of the members' region and reuses an earlier assignment for zones whose members are the same.

--- a/src/fleet/fixedFleet.ts
+++ b/src/fleet/fixedFleet.ts
@@ -18,7 +18,7 @@
     const members = [...sheet.hosts.keys()].sort();
     const assignment = assignOwners(sheet, members);
     const owned = [...sheet.targets.values()]
-      .filter((target) => assignment.get(target.target) === hostId)
+      .filter((target) => assignment.owners.get(target.target) === hostId)
       .map((target) => ({ target, usableFrom: 0, inherited: null, inService: true }));
     this.current = Object.freeze({
       hostId,
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -6,4 +6,4 @@
 export { type Order, type Acceptance, type Rejection } from './order';
 export { type Fleet } from './fleet';
 export { FixedFleet } from './fixedFleet';
-export { assignOwners, groupOwners } from './ownership';
+export { assignOwners, groupOwners, type Assignment } from './ownership';
--- a/src/fleet/ownership.ts
+++ b/src/fleet/ownership.ts
@@ -3,49 +3,75 @@
 
 import { type Owner } from './owner';
 
-/** Ids of the members by availability zone; the empty zone holds all members. */
+/** Owner of each target of a region, with what it was made from. */
+export interface Assignment {
+  readonly sheet: Sheet;
+  /** Owner host id by target id; targets without a possible owner are left out. */
+  readonly owners: ReadonlyMap<string, string>;
+  /** Members that may own the targets of a zone, joined by commas, by zone. */
+  readonly candidates: ReadonlyMap<string, string>;
+}
+
+/** Ids of the members by zone, for the zones of the region that the members are in. */
 function membersByZone(sheet: Sheet, members: readonly string[]): ReadonlyMap<string, string[]> {
-  const groups = new Map<string, string[]>([['', []]]);
-  for (const member of members) {
-    const host = sheet.hosts.get(member);
-    if (host === undefined) continue;
-    groups.get('')!.push(member);
-    const group = groups.get(host.zone);
-    if (group === undefined) groups.set(host.zone, [member]);
-    else group.push(member);
+  const zoneOf = (member: string) => sheet.hosts.get(member)?.zone;
+  const regions = new Set(
+    members.flatMap((member) => sheet.zones.get(zoneOf(member) ?? '')?.region ?? []),
+  );
+  const groups = new Map<string, string[]>();
+  for (const zone of sheet.zones.values()) {
+    if (!regions.has(zone.region)) continue;
+    const inZone = members.filter((member) => zoneOf(member) === zone.zone);
+    const known = members.filter((member) => sheet.hosts.has(member));
+    groups.set(zone.zone, inZone.length > 0 ? inZone : known);
   }
   return groups;
 }
 
+function keptOwner(
+  target: string,
+  zone: string,
+  candidates: ReadonlyMap<string, string>,
+  previous: Assignment | null,
+): string | undefined {
+  if (previous === null || previous.sheet.targets.get(target)?.zone !== zone) return undefined;
+  if (previous.candidates.get(zone) !== candidates.get(zone)) return undefined;
+  return previous.owners.get(target);
+}
+
 /**
- * The owner of each target, by target id: a member in the target's own zone, or any member when
- * that zone has none.
+ * The owner of each target of the members' region: a member in the target's own zone, or any
+ * member when that zone has none. Zones whose members are as in `previous` keep their owners
+ * without a new computation, so that a change costs in proportion to what it touches.
  */
 export function assignOwners(
   sheet: Sheet,
   members: readonly string[],
-): ReadonlyMap<string, string> {
+  previous: Assignment | null = null,
+): Assignment {
   const groups = membersByZone(sheet, members);
+  const candidates = new Map([...groups].map(([zone, ids]) => [zone, ids.join(',')]));
   const owners = new Map<string, string>();
-  for (const target of sheet.targets.values()) {
-    const candidates = groups.get(target.zone) ?? groups.get('') ?? [];
-    const owner = rendezvousChoice(target.target, candidates);
-    if (owner !== undefined) owners.set(target.target, owner);
+  for (const { target, zone } of sheet.targets.values()) {
+    const group = groups.get(zone);
+    if (group === undefined) continue;
+    const owner = keptOwner(target, zone, candidates, previous) ?? rendezvousChoice(target, group);
+    if (owner !== undefined) owners.set(target, owner);
   }
-  return owners;
+  return { sheet, owners, candidates };
 }
 
 /** Owners of each service's targets that are in service. */
 export function groupOwners(
   sheet: Sheet,
-  assignment: ReadonlyMap<string, string>,
+  assignment: Assignment,
   zonesOut: readonly string[],
 ): ReadonlyMap<string, readonly Owner[]> {
   const groups = new Map<string, readonly Owner[]>();
   for (const [service, targets] of sheet.targetsOf) {
     const byHost = new Map<string, Target[]>();
     for (const target of targets) {
-      const owner = assignment.get(target.target);
+      const owner = assignment.owners.get(target.target);
       if (owner === undefined || zonesOut.includes(target.zone)) continue;
       const group = byHost.get(owner);
       if (group === undefined) byHost.set(owner, [target]);
