Complete target state, queues and owner choice in routing

Cause: routing held a list of targets with fixed slots and picked a random owner. Change: targets have a cold limit with a ramp, suspicion, outages, leaving and load reports; pools queue by class rank with reserved slots under rain; the entry takes the less loaded of two owners; comparison policies send directly; invariants are checked at run time. Conclusion: the interface to forwarding is unchanged but for additions.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -35,7 +35,7 @@
 }
 
 function makeContext(settings: GatewaySettings, parts: GatewayParts): ForwarderContext {
-  const router = new Router(parts.fleet, parts.clock, parts.random);
+  const router = new Router(parts.fleet, parts.clock, parts.random, settings.policy);
   return {
     hostId: settings['host-id'],
     fleet: parts.fleet,
--- a/src/routing/servicePool.ts
+++ b/src/routing/servicePool.ts
@@ -1,98 +1,246 @@
 import { Err, Ok, type Result } from 'ts-results';
 
+import { type OwnedTarget } from '../fleet';
 import { notRun, type NotRun } from '../outcomes';
-import { type Clock, type Timer } from '../runtime';
-import { type Target } from '../sheet';
+import { type Timer } from '../runtime';
 
+import { type AttemptResult } from './attemptResult';
 import { type CallTraits } from './callTraits';
+import { type Flight } from './flight';
+import { isErrorAnswer, judgeResult } from './judgeResult';
+import { type PoolContext } from './poolContext';
 import { type PoolState } from './poolState';
+import { PoolTargets } from './poolTargets';
 import { type Slot } from './slot';
+import { chooseTarget, type TargetChoice } from './targetChoice';
+import { type TargetPool } from './targetPool';
+import { TargetSlot } from './targetSlot';
+import { type TargetState } from './targetState';
+import { type Waiter } from './waiter';
+import { WaitQueue } from './waitQueue';
 
-interface OwnTarget {
-  readonly target: Target;
-  inFlight: number;
-}
-
-interface Waiter {
-  readonly grant: (slot: Result<Slot, NotRun>) => void;
-  readonly timer: Timer;
-}
+// Limits also change with time alone (trials, load reports, reservations), so a queue is looked
+// at again this often.
+const QUEUE_CHECK_MS = 20;
+// A target that moves here becomes usable with the release of its earlier owner, within
+// milliseconds; a call waits this long for it before it is routed again.
+const HANDOVER_WAIT_MS = 300;
+const LONGEST_HOLD_MS = 1000;
+const WEIGHT_OF_NEWEST = 0.1;
 
 /** The targets of one service that this host owns, and the calls that wait for them. */
-export class ServicePool {
-  private targets: readonly OwnTarget[] = [];
+export class ServicePool implements TargetPool {
+  private readonly targets: PoolTargets;
 
-  private readonly waiting: Waiter[] = [];
+  private readonly queue = new WaitQueue();
 
-  constructor(
-    private readonly clock: Clock,
-    private readonly viewIsCurrent: () => boolean,
-  ) {}
+  private queueTimer: Timer | null = null;
 
-  /** Takes over the list of owned targets; calls in flight at targets that stay are kept. */
-  setTargets(targets: readonly Target[]): void {
-    this.targets = targets.map((target) => {
-      const known = this.targets.find((each) => each.target.target === target.target);
-      return { target, inFlight: known?.inFlight ?? 0 };
-    });
+  /** Calls in flight that are below the top rank. */
+  private lowInFlight = 0;
+
+  /** Smoothed time for which a call holds its slot, in milliseconds. */
+  private holdMs = 0;
+
+  constructor(private readonly context: PoolContext) {
+    this.targets = new PoolTargets(context);
+  }
+
+  /** Takes over the list of owned targets; calls in flight stay counted until they finish. */
+  setTargets(owned: readonly OwnedTarget[]): void {
+    this.targets.apply(owned, this.now());
+    this.serveQueue();
   }
 
-  /** A slot of the least loaded target, at once or when one is free before the deadline. */
   acquire(call: CallTraits): Promise<Result<Slot, NotRun>> {
-    const target = this.leastLoaded();
-    if (target !== null) return Promise.resolve(Ok(this.take(target)));
-    return new Promise((resolve) => {
-      const waiter: Waiter = {
-        grant: resolve,
-        timer: this.clock.setTimer(call.deadline, () => {
-          this.waiting.splice(this.waiting.indexOf(waiter), 1);
-          resolve(Err(notRun('deadline', 'no slot was free before the deadline')));
-        }),
-      };
-      this.waiting.push(waiter);
-    });
+    const now = this.now();
+    const rank = this.context.ranks().of(call.class);
+    if (now >= call.deadline) {
+      return Promise.resolve(Err(notRun('deadline', 'the deadline has passed')));
+    }
+    if (this.queue.ahead(rank) === 0) {
+      const slot = this.take(call, rank, now);
+      if (slot !== null) return Promise.resolve(Ok(slot));
+    }
+    const refusal = this.refusal(call, rank, now);
+    if (refusal !== null) return Promise.resolve(Err(refusal));
+    return this.wait(call, rank, now);
   }
 
-  /** Load of the pool. */
+  /** Load of the pool; targets that are held back count no slots. */
   state(): PoolState {
-    return {
-      limit: this.targets.reduce((sum, { target }) => sum + target.slots, 0),
-      inFlight: this.targets.reduce((sum, { inFlight }) => sum + inFlight, 0),
-      queued: this.waiting.length,
-      medianMs: 0,
+    return { ...this.targets.load(this.now()), queued: this.queue.size };
+  }
+
+  /** True when a call of this class would get a slot of a trusted target at once. */
+  hasRoomFor(call: CallTraits): boolean {
+    const now = this.now();
+    if (this.queue.size > 0 || !this.targets.hasTrustedRoom(now)) return false;
+    return !this.isHeldToReserve(this.context.ranks().of(call.class), now);
+  }
+
+  /** Median answer time of the service in milliseconds; 0 when not known. */
+  medianMs(): number {
+    return this.targets.medianMs(this.now());
+  }
+
+  /** Takes a median that another host knows of this service. */
+  reportMedian(hostId: string, medianMs: number): void {
+    this.targets.median.report(hostId, medianMs, this.now());
+  }
+
+  /** State of an owned target or of one with calls still in flight; undefined when unknown. */
+  target(targetId: string): TargetState | undefined {
+    return this.targets.states.get(targetId);
+  }
+
+  /** States of the targets that this host owns. */
+  owned(): readonly TargetState[] {
+    return this.targets.states.owned;
+  }
+
+  /** Serves waiting calls after a target has changed from outside. */
+  targetsChanged(): void {
+    this.targets.regroup();
+    this.serveQueue();
+  }
+
+  private now(): number {
+    return this.context.clock.now();
+  }
+
+  /** True when calls of this rank already hold all slots that are not reserved. */
+  private isHeldToReserve(rank: number, now: number): boolean {
+    const ranks = this.context.ranks();
+    if (ranks.reservedShare === 0 || ranks.isTop(rank)) return false;
+    return this.lowInFlight >= this.targets.limitFor(rank, now);
+  }
+
+  private take(call: CallTraits, rank: number, now: number): Slot | null {
+    if (this.isHeldToReserve(rank, now)) return null;
+    const groups = this.targets.groups(now);
+    const start = this.context.random.integer(Math.max(1, groups.trusted.length));
+    const choice = chooseTarget(groups, call, now, start);
+    const low = !this.context.ranks().isTop(rank);
+    return choice === null ? null : this.slotOf(choice, call, low, now);
+  }
+
+  private slotOf(choice: TargetChoice, call: CallTraits, low: boolean, now: number): Slot {
+    const { state, reason } = choice;
+    const { invariants } = this.context;
+    invariants.check(state.isOpen(now), 'a call is given only to an open target');
+    if (reason === 'trial after an outage') state.outage.trialStarted(now);
+    if (reason === 'trial of a suspected target') state.suspicion.trialStarted(now);
+    const flight: Flight = {
+      call,
+      takenAt: now,
+      low,
+      loadAtStart: state.load(now) + 1,
+      sentAt: null,
+      answeredAt: null,
+      finished: false,
     };
+    state.flights.add(flight);
+    if (low) this.lowInFlight += 1;
+    invariants.check(state.load(now) <= state.limit(now), 'calls in flight stay within the limit');
+    return new TargetSlot(state, flight, reason, this.owned().length, this.context, (...end) =>
+      this.finish(state, ...end),
+    );
+  }
+
+  private finish(state: TargetState, flight: Flight, result: AttemptResult): void {
+    const now = this.now();
+    const medianMs = this.targets.medianMs(now);
+    this.context.invariants.check(state.flights.delete(flight), 'a finished call was in flight');
+    if (flight.low) this.lowInFlight -= 1;
+    const usual = state.times.usual || medianMs;
+    this.targets.changing(state, now, () => judgeResult(state, flight, result, { now, medianMs }));
+    if (isErrorAnswer(result)) this.hold(state, flight.takenAt + usual);
+    else if (result.kind === 'answered') this.countHold(now - flight.takenAt);
+    this.targets.states.dropIfDone(state);
+    this.serveQueue();
+  }
+
+  /** Keeps a slot busy until the target's usual answer time has passed. */
+  private hold(state: TargetState, until: number): void {
+    const now = this.now();
+    if (until <= now) return;
+    state.held += 1;
+    this.context.clock.setTimer(Math.min(until, now + LONGEST_HOLD_MS), () => {
+      state.held -= 1;
+      this.serveQueue();
+    });
+  }
+
+  private countHold(milliseconds: number): void {
+    const known = this.holdMs === 0 ? milliseconds : this.holdMs;
+    this.holdMs = known + WEIGHT_OF_NEWEST * (milliseconds - known);
   }
 
-  private leastLoaded(): OwnTarget | null {
-    let best: OwnTarget | null = null;
-    for (const each of this.targets) {
-      if (each.inFlight >= each.target.slots) continue;
-      if (best === null || each.inFlight < best.inFlight) best = each;
+  private refusal(call: CallTraits, rank: number, now: number): NotRun | null {
+    if (this.targets.isLost(now)) {
+      return notRun('no-usable-target', 'no target of the service is usable here');
     }
-    return best;
-  }
-
-  private take(own: OwnTarget): Slot {
-    own.inFlight += 1;
-    return {
-      target: own.target,
-      reason: 'least loaded',
-      candidates: this.targets.length,
-      mayLeave: () =>
-        this.viewIsCurrent() ? Ok.EMPTY : Err(notRun('view-expired', 'this host is cut off')),
-      answered: () => {},
-      finish: () => {
-        own.inFlight -= 1;
-        this.grantNext();
-      },
-    };
+    const slots = Math.max(1, this.targets.limitFor(rank, now));
+    const waitMs = (this.queue.ahead(rank) * this.holdMs) / slots;
+    if (now + waitMs <= call.deadline) return null;
+    return notRun('overloaded', `the expected wait of ${Math.ceil(waitMs)} ms is too long`);
   }
 
-  private grantNext(): void {
-    const target = this.leastLoaded();
-    const waiter = target === null ? undefined : this.waiting.shift();
-    if (target === null || waiter === undefined) return;
-    waiter.timer.cancel();
-    waiter.grant(Ok(this.take(target)));
+  private wait(call: CallTraits, rank: number, now: number): Promise<Result<Slot, NotRun>> {
+    const unusable = this.targets.groups(now).trusted.length === 0;
+    const until = unusable ? Math.min(call.deadline, now + HANDOVER_WAIT_MS) : call.deadline;
+    return new Promise((resolve) => {
+      const waiter: Waiter = { call, rank, settle: resolve, timer: null };
+      this.queue.add(waiter);
+      waiter.timer = this.context.clock.setTimer(until, () => this.giveUp(waiter));
+      this.serveQueue();
+    });
+  }
+
+  private giveUp(waiter: Waiter): void {
+    if (!this.queue.remove(waiter)) return;
+    const late = this.now() >= waiter.call.deadline;
+    const refusal = late
+      ? notRun('deadline', 'no slot was free before the deadline')
+      : notRun('no-usable-target', 'no target of the service became usable here');
+    waiter.settle(Err(refusal));
+  }
+
+  private watchQueue(): void {
+    if (this.queueTimer !== null || this.queue.size === 0) return;
+    this.queueTimer = this.context.clock.setTimer(this.now() + QUEUE_CHECK_MS, () => {
+      this.queueTimer = null;
+      this.serveQueue();
+    });
+  }
+
+  /** Gives free slots to waiting calls; a call that fits nowhere does not block others. */
+  private serveQueue(): void {
+    if (this.queue.size === 0) return;
+    const now = this.now();
+    if (this.targets.isLost(now)) this.refuseAll();
+    else this.grantInOrder(now);
+    this.watchQueue();
+  }
+
+  private grantInOrder(now: number): void {
+    for (const waiter of this.queue.inOrder()) {
+      if (!this.targets.hasRoom(now) || this.isHeldToReserve(waiter.rank, now)) return;
+      // After a pause the timer of a call may still be due; it must not be sent late.
+      const late = now >= waiter.call.deadline;
+      const slot = late ? null : this.take(waiter.call, waiter.rank, now);
+      if (slot === null) continue;
+      this.queue.remove(waiter);
+      waiter.timer?.cancel();
+      waiter.settle(Ok(slot));
+    }
+  }
+
+  private refuseAll(): void {
+    for (const waiter of this.queue.inOrder()) {
+      waiter.timer?.cancel();
+      this.giveUp(waiter);
+    }
   }
 }
