--- /dev/null
+++ b/src/probing/prober.ts
@@ -0,0 +1,30 @@
+import { type FleetView } from '../fleet';
+
+import { type ProbeContext } from './probeContext';
+import { TargetProber } from './targetProber';
+
+/** Probes the targets that this host owns; other hosts never probe them. */
+export class Prober {
+  private readonly probers = new Map<string, TargetProber>();
+
+  constructor(private readonly context: ProbeContext) {}
+
+  /** Starts and ends the probing of targets that moved; called after `Router.applyView`. */
+  applyView(view: FleetView): void {
+    for (const [targetId, prober] of this.probers) {
+      if (view.owned.has(targetId)) continue;
+      this.probers.delete(targetId);
+      void prober.close();
+    }
+    for (const targetId of view.owned.keys()) {
+      if (this.probers.has(targetId)) continue;
+      this.probers.set(targetId, new TargetProber(targetId, this.context));
+    }
+  }
+
+  /** Ends all probing. */
+  async close(): Promise<void> {
+    await Promise.all([...this.probers.values()].map((prober) => prober.close()));
+    this.probers.clear();
+  }
+}
