--- a/src/fleet/automaticChanges.ts
+++ b/src/fleet/automaticChanges.ts
@@ -114,7 +114,7 @@
       hostId: parts.hostId,
       leaving,
       record: acceptor.committed,
-      sheet: this.replica.sheet(),
+      hosts: this.replica.hosts(),
       contacts,
       now: parts.clock.now(),
     };
--- a/src/fleet/evaluateOrder.ts
+++ b/src/fleet/evaluateOrder.ts
@@ -59,7 +59,10 @@
   const zonesOut = out
     ? [...record.zonesOut, zone].sort()
     : record.zonesOut.filter((each) => each !== zone);
-  const left = [...sheet.zones.keys()].filter((each) => !zonesOut.includes(each));
+  const { region } = sheet.zones.get(zone)!;
+  const left = [...sheet.zones.values()].filter(
+    (each) => each.region === region && !zonesOut.includes(each.zone),
+  );
   if (left.length === 0 && !force) {
     return rejected('last-zone', `${zone} is the last availability zone in service`);
   }
--- a/src/fleet/handover.ts
+++ b/src/fleet/handover.ts
@@ -60,7 +60,7 @@
     this.noteUnlisted(next);
     for (const target of next.sheet.targets.values()) {
       const known = this.ownerships.get(target.target);
-      if (next.assignment.get(target.target) !== this.hostId) {
+      if (next.assignment.owners.get(target.target) !== this.hostId) {
         this.ownerships.delete(target.target);
       } else if (known === undefined || !(contiguous || viewWasCurrent)) {
         this.ownerships.set(target.target, this.gain(target, next, contiguous));
@@ -115,7 +115,7 @@
     const departing: DepartingTarget[] = [];
     for (const [targetId, ownership] of this.ownerships) {
       const target = next.sheet.targets.get(targetId);
-      const newOwner = next.assignment.get(targetId);
+      const newOwner = next.assignment.owners.get(targetId);
       if (target === undefined || newOwner === undefined || newOwner === this.hostId) continue;
       departing.push({
         target,
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -6,7 +6,7 @@
 export { type Order, type Acceptance, type Rejection } from './order';
 export { type Fleet } from './fleet';
 export { FixedFleet } from './fixedFleet';
-export { assignOwners, groupOwners } from './ownership';
+export { assignOwners, groupOwners, type Assignment } from './ownership';
 export { type SheetSource, type SheetSourceError } from './sheetSource';
 export { MemorySheetSource } from './memorySheetSource';
 export { type HandoverSource, type ReleasedState } from './handoverSource';
--- a/src/fleet/quorum.ts
+++ b/src/fleet/quorum.ts
@@ -1,11 +1,19 @@
 import { rendezvousOrder } from '../runtime';
-import { type Sheet } from '../sheet';
+import { type Host, type Sheet } from '../sheet';
 
 const MOST_VOTERS = 17;
 
-/** The hosts whose majority decides while `sheet` is in force. */
-export function votersOf(sheet: Sheet): readonly string[] {
-  const hosts = [...sheet.hosts.keys()].sort();
+/** Hosts of the region that `zone` is in, by id. */
+export function regionHosts(sheet: Sheet, zone: string): ReadonlyMap<string, Host> {
+  const region = sheet.zones.get(zone)?.region;
+  return new Map(
+    [...sheet.hosts].filter(([, host]) => sheet.zones.get(host.zone)?.region === region),
+  );
+}
+
+/** The hosts of the region of `zone` whose majority decides while `sheet` is in force. */
+export function votersOf(sheet: Sheet, zone: string): readonly string[] {
+  const hosts = [...regionHosts(sheet, zone).keys()].sort();
   if (hosts.length <= MOST_VOTERS) return hosts;
   return rendezvousOrder('voters', hosts).slice(0, MOST_VOTERS);
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,6 +16,7 @@
 
 import { GATEWAY_EVENTS } from './events';
 import { listen, type ListenError } from './listen';
+import { type RouterHandover } from './routerHandover';
 
 /** What a gateway is made of besides its settings. */
 export interface GatewayParts {
@@ -24,6 +25,8 @@
   readonly events: EventLog;
   readonly decisions: DecisionLog;
   readonly fleet: Fleet;
+  /** Learns the state of released targets from routing; absent for a fleet without handover. */
+  readonly handover?: RouterHandover;
 }
 
 /** A running gateway. */
@@ -35,7 +38,9 @@
 }
 
 function makeContext(settings: GatewaySettings, parts: GatewayParts): ForwarderContext {
-  const router = new Router(parts.fleet, parts.clock, parts.random);
+  const router = new Router(parts.fleet, parts.clock, parts.random, settings.policy);
+  parts.fleet.onChange((view) => router.applyView(view));
+  parts.handover?.follow(router);
   return {
     hostId: settings['host-id'],
     fleet: parts.fleet,
--- a/test/fleet/simFleet.ts
+++ b/test/fleet/simFleet.ts
@@ -1,7 +1,7 @@
 import bunyan from 'bunyan';
 import { Err, Ok } from 'ts-results';
 
-import { ReplicatedFleet, type SheetSource } from '../../src/fleet';
+import { type InheritedState, ReplicatedFleet, type SheetSource } from '../../src/fleet';
 import { EventLog } from '../../src/logging';
 import { SeededRandom } from '../../src/runtime';
 import { parseSheet, type Sheet } from '../../src/sheet';
@@ -77,6 +77,9 @@
 
   private incarnations = 0;
 
+  /** What each host inherited with the targets of its latest view, by host and target. */
+  private readonly inherited = new Map<string, InheritedState | null>();
+
   constructor(
     readonly seed: number,
     readonly sheet: Sheet,
@@ -97,6 +100,7 @@
     this.network.processes.set(hostId, process);
     const fleet = new ReplicatedFleet({
       hostId,
+      zone: sheet.hosts.get(hostId)!.zone,
       incarnation: process.incarnation,
       startSheet: sheet,
       transport: this.network.transport(process),
@@ -107,6 +111,11 @@
       events,
     });
     this.hosts.set(hostId, { process, fleet, epoch: 0 });
+    fleet.onChange((view) => {
+      for (const [target, owned] of view.owned) {
+        this.inherited.set(`${hostId} ${target}`, owned.inherited);
+      }
+    });
     fleet.start();
   }
 
@@ -181,8 +190,15 @@
 
   private describe(hostId: string, target: string) {
     const calls = this.running(hostId, target);
-    const lastDeadline = Math.max(0, ...calls.map((call) => call.endsAt));
-    return { callsInFlight: calls.length, lastDeadline, limit: 2, coldUntil: 0, instance: '' };
+    const inherited = this.inherited.get(`${hostId} ${target}`) ?? null;
+    const reserved = inherited !== null && inherited.reservedUntil > this.now() ? inherited : null;
+    return {
+      callsInFlight: calls.length + (reserved?.callsInFlight ?? 0),
+      lastDeadline: Math.max(reserved?.reservedUntil ?? 0, ...calls.map((call) => call.endsAt)),
+      limit: 2,
+      coldUntil: 0,
+      instance: '',
+    };
   }
 
   private sheets(process: SimProcess): SheetSource {
