--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -1,35 +1,31 @@
-import { Err, type Result } from 'ts-results';
+import { Err, Ok, type Result } from 'ts-results';
 import { match } from 'ts-pattern';
 
 import { notRun, outcomeUnknown, type NotRun, type OutcomeUnknown } from '../outcomes';
-import { type AttemptResult, type Slot, type TargetSignals } from '../routing';
+import { type AttemptResult, type Slot } from '../routing';
 import { type Clock } from '../runtime';
 
+import { type AttemptObserver } from './attemptObserver';
 import { type Call } from './call';
 import { type ConnectionPools } from './connectionPools';
 import {
+  BAGGAGE_HEADER,
   CALL_ID_HEADER,
-  LOAD_HEADER,
   OUTCOME_HEADER,
-  TARGET_INSTANCE_HEADER,
-  TARGET_STATE_HEADER,
   TIMEOUT_HEADER,
   type HeaderMap,
 } from './headers';
-import { type Answer, type BodySink, type TransmissionFailure } from './transmission';
+import { type Placed } from './placed';
+import { readSignals } from './readSignals';
+import { SlotAnswer } from './slotAnswer';
+import { type Answer, type TransmissionFailure } from './transmission';
 import { transmit } from './transmit';
 
-const UTILIZATION = /(?:application_utilization|cpu_utilization)["\s]*[:=]\s*([0-9.]+)/;
-
-function readSignals(headers: Answer['headers']): TargetSignals {
-  const instance = headers[TARGET_INSTANCE_HEADER];
-  const load = headers[LOAD_HEADER];
-  const utilization = typeof load === 'string' ? UTILIZATION.exec(load) : null;
-  return {
-    instance: typeof instance === 'string' ? instance : null,
-    draining: headers[TARGET_STATE_HEADER] === 'draining',
-    utilization: utilization === null ? null : Number(utilization[1]),
-  };
+/** What an attempt needs of this host. */
+export interface AttemptContext {
+  readonly targetPools: ConnectionPools;
+  readonly clock: Clock;
+  readonly observer: AttemptObserver;
 }
 
 function headersFor(call: Call, slot: Slot, clock: Clock): HeaderMap {
@@ -39,28 +35,27 @@
     host: `${target.address}:${target.port}`,
     [CALL_ID_HEADER]: call.traits.callId,
     [TIMEOUT_HEADER]: String(Math.max(0, Math.floor(call.traits.deadline - clock.now()))),
+    [BAGGAGE_HEADER]: call.baggage,
   };
 }
 
 function resultOf(failure: TransmissionFailure): AttemptResult {
   return match(failure)
     .returnType<AttemptResult>()
-    .with({ kind: 'not-sent', refusal: null }, () => ({ kind: 'connect-failed' }))
-    .with({ kind: 'not-sent' }, () => ({ kind: 'not-sent' }))
+    .with({ kind: 'connect-failed' }, () => ({ kind: 'connect-failed' }))
+    .with({ kind: 'withheld' }, () => ({ kind: 'not-sent' }))
     .with({ kind: 'lost' }, () => ({ kind: 'connection-lost' }))
     .with({ kind: 'deadline' }, () => ({ kind: 'deadline' }))
     .with({ kind: 'cancelled' }, () => ({ kind: 'cancelled' }))
     .exhaustive();
 }
 
-/** Translates a failed transmission into the outcome of its attempt. */
+/** Translates a failed transmission into the outcome of its placement. */
 export function outcomeOf(failure: TransmissionFailure): NotRun | OutcomeUnknown {
   return match(failure)
     .returnType<NotRun | OutcomeUnknown>()
-    .with(
-      { kind: 'not-sent' },
-      ({ refusal, detail }) => refusal ?? notRun('no-usable-target', detail),
-    )
+    .with({ kind: 'connect-failed' }, ({ detail }) => notRun('no-usable-target', detail))
+    .with({ kind: 'withheld' }, ({ refusal }) => refusal)
     .with({ kind: 'deadline' }, ({ detail }) => outcomeUnknown('deadline', detail))
     .with({ kind: 'lost' }, { kind: 'cancelled' }, ({ detail }) =>
       outcomeUnknown('connection-lost', detail),
@@ -68,54 +63,60 @@
     .exhaustive();
 }
 
-/** Returns the slot when the body has ended. */
-function releasing(slot: Slot, result: AttemptResult, sink: BodySink): BodySink {
-  return {
-    data: (chunk, drained) => sink.data(chunk, drained),
-    end: (end) => {
-      slot.finish(end === 'whole' ? result : { kind: 'connection-lost' });
-      sink.end(end);
-    },
-  };
+function observeFailure(
+  call: Call,
+  target: string,
+  failure: TransmissionFailure,
+  observer: AttemptObserver,
+): void {
+  if (failure.kind === 'lost') observer.lost(call, target);
+  else if (failure.kind === 'connect-failed') observer.unreachable(target);
+}
+
+function departureCheck(call: Call, slot: Slot): Result<void, NotRun> {
+  const allowed = slot.mayLeave();
+  if (allowed.err) return allowed;
+  if (call.record.beginSend()) return Ok.EMPTY;
+  return Err(notRun('refused-by-target', 'a non-idempotent call is sent only once'));
+}
+
+function takeAnswer(call: Call, slot: Slot, answer: Answer, observer: AttemptObserver): Placed {
+  const { target } = slot.target;
+  const signals = readSignals(answer.headers);
+  slot.answered();
+  observer.answered(target, signals.instance);
+  if (answer.status === 503 && answer.headers[OUTCOME_HEADER] === 'not-run') {
+    call.record.sendDidNotRun();
+    new SlotAnswer(answer, slot, { kind: 'refused', signals }).discard();
+    const outcome = notRun('refused-by-target', `target ${target} did not run the call`);
+    return Err({ outcome, target });
+  }
+  return Ok(new SlotAnswer(answer, slot, { kind: 'answered', status: answer.status, signals }));
 }
 
 /** Sends a call to the target of `slot`; the slot is returned in every case. */
 export async function attemptCall(
   call: Call,
   slot: Slot,
-  pools: ConnectionPools,
-  clock: Clock,
-): Promise<Result<Answer, NotRun | OutcomeUnknown>> {
+  context: AttemptContext,
+): Promise<Placed> {
   const { target } = slot;
   const connections = Math.max(1, Math.floor(target.connections / 2));
   const head = await transmit(
-    pools.to(target.address, target.port, connections),
+    context.targetPools.to(target.address, target.port, connections),
     {
       method: call.method,
       path: call.path,
-      headers: headersFor(call, slot, clock),
+      headers: headersFor(call, slot, context.clock),
       body: call.body,
       deadline: call.traits.deadline,
-      signal: call.signal,
-      mayLeave: () => slot.mayLeave(),
+      cancellation: call.cancellation,
+      mayLeave: () => departureCheck(call, slot),
     },
-    clock,
+    context.clock,
   );
-  if (head.err) {
-    slot.finish(resultOf(head.val));
-    return Err(outcomeOf(head.val));
-  }
-  slot.answered();
-  const answer = head.val;
-  const signals = readSignals(answer.headers);
-  if (answer.status === 503 && answer.headers[OUTCOME_HEADER] === 'not-run') {
-    slot.finish({ kind: 'refused', signals });
-    answer.streamTo({ data: () => true, end: () => {} });
-    return Err(notRun('refused-by-target', `target ${target.target} did not run the call`));
-  }
-  const result: AttemptResult = { kind: 'answered', status: answer.status, signals };
-  return head.map((received) => ({
-    ...received,
-    streamTo: (sink: BodySink) => received.streamTo(releasing(slot, result, sink)),
-  }));
+  if (head.ok) return takeAnswer(call, slot, head.val, context.observer);
+  slot.finish(resultOf(head.val));
+  observeFailure(call, target.target, head.val, context.observer);
+  return Err({ outcome: outcomeOf(head.val), target: target.target });
 }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -1,6 +1,8 @@
+import { type OutcomeRecord } from '../outcomes';
 import { type CallTraits } from '../routing';
 
 import { type CallBody } from './callBody';
+import { type Cancellation } from './cancellation';
 import { type HeaderMap } from './headers';
 
 /** A call as this host forwards it. */
@@ -12,6 +14,10 @@
   /** End-to-end headers of the caller. */
   readonly headers: HeaderMap;
   readonly body: CallBody;
-  /** Aborted when the caller goes away. */
-  readonly signal: AbortSignal;
+  /** The `baggage` header for the target, with the depth of the target's own calls. */
+  readonly baggage: string;
+  /** Number of gateways that the chain of calls passed as an entry before this one. */
+  readonly depth: number;
+  readonly cancellation: Cancellation;
+  readonly record: OutcomeRecord;
 }
--- a/src/forwarding/callBody.ts
+++ b/src/forwarding/callBody.ts
@@ -1,7 +1,12 @@
-import { type IncomingMessage } from 'node:http';
+import { type StreamedBody } from './streamedBody';
 
-/** The body of a call. A buffered body can be sent again; a stream can be sent once. */
+/** The body of a call. A buffered body can be sent again; a stream only until it was begun. */
 export type CallBody =
   | { readonly kind: 'none' }
   | { readonly kind: 'buffered'; readonly bytes: Buffer }
-  | { readonly kind: 'stream'; readonly stream: IncomingMessage; readonly length: number | null };
+  | { readonly kind: 'stream'; readonly stream: StreamedBody };
+
+/** True while the whole body can still be sent. */
+export function canBeSent(body: CallBody): boolean {
+  return body.kind !== 'stream' || !body.stream.started;
+}
--- a/src/forwarding/callerListener.ts
+++ b/src/forwarding/callerListener.ts
@@ -1,123 +1,168 @@
 import { randomUUID } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, type Result } from 'ts-results';
 
 import { type FleetView } from '../fleet';
-import { notRun, type NotRun } from '../outcomes';
+import { type EventLog } from '../logging';
+import { notRun, type NotRun, outcomeUnknown } from '../outcomes';
 
+import { answerCall } from './answerCall';
 import { type Call } from './call';
-import { type Forwarder, type ForwarderContext } from './forwarder';
-import { endToEndHeaders, TIMEOUT_HEADER } from './headers';
-import { readBody } from './readBody';
+import { type CallBody } from './callBody';
+import { Cancellation } from './cancellation';
+import { writeBaggage } from './depth';
+import { type EntryRun } from './entryRun';
+import { FORWARDING_EVENTS } from './events';
+import { type ForwarderContext } from './forwarderContext';
+import { endToEndHeaders } from './headers';
+import { MalformedRequests } from './malformedRequests';
+import { checkDeclaredLength, hasBody, readBody } from './readBody';
+import { readHead, type RequestHead } from './readCall';
+import { DEFAULT_REQUEST_LIMITS, type RequestLimits } from './requestLimits';
 import { writeProblem } from './writeProblem';
 
 const BYTES_PER_KB = 1024;
-const HEADER_LIMIT_BYTES = 16 * BYTES_PER_KB;
-const HEADER_TIME_LIMIT_MS = 10_000;
-const REQUEST_TIME_LIMIT_MS = 120_000;
-const IDLE_LIMIT_MS = 60_000;
-
-interface Address {
-  readonly service: string;
-  readonly path: string;
-}
-
-/** Splits `/service/rest?query` into the service and the path behind it. */
-function readAddress(url: string): Address {
-  const end = url.slice(1).search(/[/?]/);
-  if (end === -1) return { service: url.slice(1), path: '/' };
-  const rest = url.slice(1 + end);
-  return { service: url.slice(1, 1 + end), path: rest.startsWith('?') ? `/${rest}` : rest };
-}
-
-function readTimeLimit(request: IncomingMessage, longest: number): Result<number, NotRun> {
-  const given = request.headers[TIMEOUT_HEADER];
-  if (given === undefined) return Ok(longest);
-  if (typeof given !== 'string' || !/^\d{1,9}$/.test(given)) {
-    return Err(notRun('bad-request', `${TIMEOUT_HEADER} must be a whole number of milliseconds`));
-  }
-  return Ok(Math.min(longest, Number(given)));
-}
 
 /** Accepts calls from callers. */
 export class CallerListener {
   readonly server: Server;
 
+  private readonly malformed: MalformedRequests;
+
+  private closing = false;
+
   constructor(
     private readonly context: ForwarderContext,
-    private readonly forwarder: Forwarder,
+    private readonly run: EntryRun,
+    private readonly events: EventLog,
+    private readonly limits: RequestLimits = DEFAULT_REQUEST_LIMITS,
   ) {
-    this.server = createServer(
-      {
-        maxHeaderSize: HEADER_LIMIT_BYTES,
-        headersTimeout: HEADER_TIME_LIMIT_MS,
-        requestTimeout: REQUEST_TIME_LIMIT_MS,
-        keepAliveTimeout: IDLE_LIMIT_MS,
-        insecureHTTPParser: false,
-      },
-      (request, response) => {
-        void this.handle(request, response);
-      },
-    );
+    this.malformed = new MalformedRequests(events);
+    this.server = createServer({ ...limits, insecureHTTPParser: false, requireHostHeader: false });
+    this.server.on('request', (request, response) => this.accept(request, response, false));
+    this.server.on('checkContinue', (request, response) => this.accept(request, response, true));
+    this.server.on('checkExpectation', (request, response) => {
+      this.refuse(request, response, notRun('bad-request', 'the expectation is not known'), '');
+    });
+    this.malformed.attach(this.server);
   }
 
-  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  /** From now on each answer closes its caller's connection. */
+  closeConnectionsWithAnswers(): void {
+    this.closing = true;
+  }
+
+  private accept(request: IncomingMessage, response: ServerResponse, waits: boolean): void {
+    this.malformed.expectAnswer(request.socket, response);
+    if (this.closing) response.shouldKeepAlive = false;
     const callId = randomUUID();
-    const call = await this.readCall(request, response, callId);
-    if (call.err) {
-      writeProblem(response, call.val, callId);
+    const { clock, fleet, loadGuard } = this.context;
+    const view = fleet.view();
+    const head = this.readHead(request, view, callId);
+    if (head.err) {
+      this.refuse(request, response, head.val, callId);
       return;
     }
-    const result = await this.forwarder.runEntry(call.val);
-    this.forwarder.answer(call.val, result, response, {});
+    const refusal = loadGuard.admit(view!.sheet, head.val.traits.class);
+    if (refusal !== null) {
+      this.refuse(request, response, refusal, callId);
+      return;
+    }
+    const cancellation = new Cancellation();
+    const startedAt = clock.now();
+    response.once('close', () => {
+      loadGuard.release();
+      this.context.metrics.ended(clock.now() - startedAt);
+      if (!response.writableFinished) cancellation.cancel();
+    });
+    void this.handle(request, response, head.val, cancellation, waits);
   }
 
-  private async readCall(
+  private readHead(
     request: IncomingMessage,
-    response: ServerResponse,
+    view: FleetView | null,
     callId: string,
-  ): Promise<Result<Call, NotRun>> {
-    const view = this.context.fleet.view();
+  ): Result<RequestHead, NotRun> {
     if (view === null) return Err(notRun('view-expired', 'this host has no configuration yet'));
-    const { service, path } = readAddress(request.url ?? '/');
-    const known = view.sheet.services.get(service);
-    if (known === undefined) return Err(notRun('unknown-service', `no service '${service}'`));
-    const limit = readTimeLimit(request, known.time_limit_ms);
-    if (limit.err) return limit;
-    const deadline = this.context.clock.now() + limit.val;
-    const body = await readBody(request, known.body_limit_kb * BYTES_PER_KB);
-    if (body.err) return body;
-    const method = request.method ?? 'GET';
-    const callerGone = new AbortController();
-    response.once('close', () => callerGone.abort());
-    return Ok({
-      method,
-      path,
-      headers: endToEndHeaders(request.headers),
-      body: body.val,
-      signal: callerGone.signal,
-      traits: this.traits(view, callId, service, method, path, deadline),
-    });
+    if (!this.context.router.viewIsCurrent()) {
+      return Err(notRun('view-expired', 'this host is cut off'));
+    }
+    return readHead(request, view, callId, this.context.clock);
   }
 
-  private traits(
-    view: FleetView,
-    callId: string,
-    service: string,
-    method: string,
-    path: string,
-    deadline: number,
-  ): Call['traits'] {
-    const operation = view.operations.find(service, method, path);
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    head: RequestHead,
+    cancellation: Cancellation,
+    waits: boolean,
+  ): Promise<void> {
+    const limit = head.service.body_limit_kb * BYTES_PER_KB;
+    const tooLarge = checkDeclaredLength(request, limit);
+    if (tooLarge !== null) {
+      this.refuse(request, response, tooLarge, head.traits.callId);
+      return;
+    }
+    if (waits) response.writeContinue();
+    const read = readBody(request, limit, this.context.clock, head.traits.deadline);
+    const body = read instanceof Promise ? await read : read;
+    if (body.err) {
+      this.refuse(request, response, body.val, head.traits.callId);
+      return;
+    }
+    await this.runCall(this.makeCall(request, head, body.val, cancellation), response);
+  }
+
+  private async runCall(call: Call, response: ServerResponse): Promise<void> {
+    try {
+      answerCall(call, await this.run(call), response, {});
+    } catch (error) {
+      this.events.emit(FORWARDING_EVENTS.callFailed, { callId: call.traits.callId, error });
+      if (call.record.outcome !== null) {
+        response.destroy();
+        return;
+      }
+      const outcome = outcomeUnknown('connection-lost', 'the gateway failed to handle the call');
+      answerCall(call, Err({ outcome, target: null }), response, {});
+    }
+  }
+
+  private makeCall(
+    request: IncomingMessage,
+    head: RequestHead,
+    body: CallBody,
+    cancellation: Cancellation,
+  ): Call {
     return {
-      callId,
-      service,
-      class: operation.class,
-      idempotent: operation.idempotent,
-      deadline,
-      suspect: null,
-      avoid: new Set(),
+      method: request.method ?? 'GET',
+      path: head.address.path,
+      headers: endToEndHeaders(request.headers),
+      body,
+      baggage: writeBaggage(request.headers.baggage as string | undefined, head.depth),
+      depth: head.depth,
+      cancellation,
+      record: this.context.recorder.begin(head.traits.idempotent),
+      traits: head.traits,
     };
   }
+
+  /** Refuses a request before it became a call; what is left of its body is read and dropped. */
+  private refuse(
+    request: IncomingMessage,
+    response: ServerResponse,
+    refusal: NotRun,
+    callId: string,
+  ): void {
+    this.context.recorder.begin(true).end(response.destroyed ? 'caller-gone' : 'not-run');
+    writeProblem(response, refusal, callId);
+    if (request.complete || !hasBody(request)) return;
+    request.resume();
+    // Closing at once could reset the connection before the caller has read the answer.
+    const { clock } = this.context;
+    const timer = clock.setTimer(clock.now() + this.limits.lingerMs, () => {
+      if (!request.complete) request.socket.destroy();
+    });
+    request.once('close', () => timer.cancel());
+  }
 }
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -1,91 +1,110 @@
-import { type ServerResponse } from 'node:http';
+import { Err } from 'ts-results';
 
-import { Err, type Result } from 'ts-results';
-
-import { type Fleet } from '../fleet';
-import { type DecisionLog } from '../logging';
-import { notRun, type NotRun, type OutcomeUnknown } from '../outcomes';
-import { type Router } from '../routing';
-import { type Clock } from '../runtime';
+import { notRun } from '../outcomes';
+import { type Choice } from '../routing';
 
 import { attemptCall } from './attempt';
 import { type Call } from './call';
-import { type ConnectionPools } from './connectionPools';
-import { endToEndHeaders, type HeaderMap } from './headers';
-import { relayCall, type RelayContext } from './relay';
-import { ResponseSink } from './responseSink';
-import { type Answer } from './transmission';
-import { writeProblem } from './writeProblem';
+import { type ForwarderContext } from './forwarderContext';
+import { type Placed } from './placed';
+import { PlacementState } from './placementState';
+import { type PlacementCause, Placer } from './placer';
+import { relayCall } from './relay';
+import { RepeatableRun, type RepeatContext } from './repeatableRun';
+import { RunningTargets } from './runningTargets';
+import { ServiceHistory } from './serviceHistory';
 
-/** Outcome of one placement of a call. */
-export type PlacementResult = Result<Answer, NotRun | OutcomeUnknown>;
+// A level of a chain that adds 1% keeps the calls of 7 levels within 1.2 times the first.
+const DEEP_REPEAT_COST = 10;
 
-/** What forwarding needs of the gateway. */
-export interface ForwarderContext {
-  readonly hostId: string;
-  readonly fleet: Fleet;
-  readonly router: Router;
-  readonly clock: Clock;
-  readonly decisions: DecisionLog;
-  readonly targetPools: ConnectionPools;
-  readonly relay: RelayContext;
-}
+/** Places calls on targets. */
+export class Forwarder {
+  private readonly placer: Placer;
 
-const LARGEST_PLACEMENTS = 4;
+  private readonly histories = new Map<string, ServiceHistory>();
 
-/** Places calls on targets and passes their answers to the callers. */
-export class Forwarder {
-  constructor(private readonly context: ForwarderContext) {}
+  private readonly running = new RunningTargets();
+
+  constructor(private readonly context: ForwarderContext) {
+    this.placer = new Placer({
+      router: context.router,
+      clock: context.clock,
+      sendTo: (call, choice, cause) => this.sendTo(call, choice, cause),
+      takeRepeat: (call) => this.takeRepeat(call),
+    });
+  }
 
   /** Runs a call that a caller sent to this host. */
-  async runEntry(call: Call): Promise<PlacementResult> {
-    const excluded = new Set<string>();
-    let last: PlacementResult = Err(notRun('no-usable-target', 'the service has no usable target'));
-    for (let placement = 0; placement < LARGEST_PLACEMENTS; placement += 1) {
-      const choice = this.context.router.choose(call.traits, excluded);
-      if (choice === null) return last;
-      if (!choice.own) this.log(call, choice.owner.host.host, '', choice.reason, choice.candidates);
-      last = choice.own
-        ? await this.runHere(call)
-        : await relayCall(call, choice, this.context.relay);
-      if (last.ok || last.val.kind !== 'not-run') return last;
-      excluded.add(choice.owner.host.host);
+  runEntry(call: Call): Promise<Placed> {
+    const history = this.historyOf(call.traits.service);
+    history.budget.countCall();
+    if (!call.traits.idempotent || call.depth > 0 || call.body.kind === 'stream') {
+      return this.placer.place(call, new PlacementState(), 'first');
     }
-    return last;
+    return new RepeatableRun(call, this.repeatContext(history)).run();
   }
 
   /** Runs a call on a target that this host owns. */
-  async runHere(call: Call): Promise<PlacementResult> {
-    const slot = await this.context.router.pool(call.traits.service).acquire(call.traits);
-    if (slot.err) return slot;
+  async runHere(call: Call, cause: PlacementCause = 'first'): Promise<Placed> {
+    const { traits } = call;
+    if (!this.context.router.viewIsCurrent()) {
+      return Err({ outcome: notRun('view-expired', 'this host is cut off'), target: null });
+    }
+    const wanted = traits.idempotent ? this.running.traitsFor(traits) : traits;
+    const slot = await this.context.router.pool(traits.service).acquire(wanted);
+    if (slot.err) return Err({ outcome: slot.val, target: null });
     const { target, reason, candidates } = slot.val;
-    this.log(call, this.context.hostId, target.target, reason, candidates);
-    return attemptCall(call, slot.val, this.context.targetPools, this.context.clock);
+    if (call.cancellation.cancelled) {
+      slot.val.finish({ kind: 'not-sent' });
+      return Err({ outcome: notRun('deadline', 'the call was cancelled'), target: null });
+    }
+    this.log(call, this.context.hostId, target.target, cause, reason, candidates);
+    this.running.begin(traits.callId, target.target);
+    const placed = await attemptCall(call, slot.val, this.context);
+    this.running.end(traits.callId, target.target);
+    return placed;
   }
 
-  /** Ends a call: streams its answer, or writes the problem. */
-  answer(call: Call, result: PlacementResult, response: ServerResponse, extra: HeaderMap): void {
-    if (result.err) {
-      for (const [name, value] of Object.entries(extra)) {
-        if (!response.headersSent) response.setHeader(name, value);
-      }
-      writeProblem(response, result.val, call.traits.callId);
-      return;
-    }
-    const answer = result.val;
-    if (response.destroyed) {
-      answer.cancel();
-      return;
+  private sendTo(call: Call, choice: Choice, cause: PlacementCause): Promise<Placed> {
+    this.context.metrics.placed(choice.own);
+    if (choice.own) return this.runHere(call, cause);
+    this.log(call, choice.owner.host.host, '', cause, choice.reason, choice.candidates);
+    return relayCall(call, choice, this.context.relay);
+  }
+
+  private repeatContext(history: ServiceHistory): RepeatContext {
+    return {
+      placer: this.placer,
+      clock: this.context.clock,
+      history,
+      takeRepeat: (call) => this.takeRepeat(call),
+      repeated: (cause) => this.context.metrics.repeated(cause),
+    };
+  }
+
+  private takeRepeat(call: Call): boolean {
+    const { service } = call.traits;
+    const percent = this.context.fleet.view()?.sheet.services.get(service)?.retry_percent ?? 0;
+    return this.historyOf(service).budget.take(percent, call.depth === 0 ? 1 : DEEP_REPEAT_COST);
+  }
+
+  private historyOf(service: string): ServiceHistory {
+    let history = this.histories.get(service);
+    if (history === undefined) {
+      history = new ServiceHistory(this.context.clock);
+      this.histories.set(service, history);
     }
-    response.writeHead(answer.status, {
-      ...endToEndHeaders(answer.headers),
-      'proxy-status': 'limpetknot',
-      ...extra,
-    });
-    answer.streamTo(new ResponseSink(response, () => {}));
+    return history;
   }
 
-  private log(call: Call, host: string, target: string, reason: string, candidates: number): void {
+  private log(
+    call: Call,
+    host: string,
+    target: string,
+    cause: PlacementCause,
+    reason: string,
+    candidates: number,
+  ): void {
     const { callId, service, class: priority } = call.traits;
     this.context.decisions.record({
       callId,
@@ -93,7 +112,7 @@
       class: priority,
       host,
       target,
-      reason,
+      reason: cause === 'first' ? reason : `${cause}: ${reason}`,
       candidates,
     });
   }
--- a/src/forwarding/headers.ts
+++ b/src/forwarding/headers.ts
@@ -12,12 +12,20 @@
 export const IDEMPOTENT_HEADER = 'limpetknot-idempotent';
 /** Host that relays a call; its presence means that the call is not relayed again. */
 export const ENTRY_HEADER = 'limpetknot-entry';
+/** Target that ran or refused a relayed call; on answers between hosts. */
+export const TARGET_HEADER = 'limpetknot-target';
+/** Targets that already failed a relayed call, separated by commas. */
+export const AVOID_HEADER = 'limpetknot-avoid';
+/** Fingerprint of a relayed call that is suspected of crashing targets. */
+export const SUSPECT_HEADER = 'limpetknot-suspect';
 /** Secret shared by the hosts; it proves that a relayed call comes from one of them. */
 export const PEER_SECRET_HEADER = 'limpetknot-peer-secret';
 /** Load of the owner, on answers to relayed calls: limit, in flight, queued, median. */
 export const OWNER_STATE_HEADER = 'limpetknot-owner-state';
-/** "not-run" on answers whose call did not run. */
+/** "not-run" or "outcome-unknown" on answers that tell of such an outcome. */
 export const OUTCOME_HEADER = 'limpetknot-outcome';
+/** W3C header that carries the depth of a chain of calls. */
+export const BAGGAGE_HEADER = 'baggage';
 /** Identity of a target's process; it differs after each start. */
 export const TARGET_INSTANCE_HEADER = 'limpetknot-target-instance';
 /** "draining" on answers of a target that is leaving. */
@@ -31,6 +39,7 @@
 // RFC 9110, section 7.6.1, with the older names that are still in use.
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection',
+  'expect',
   'keep-alive',
   'proxy-authenticate',
   'proxy-authorization',
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -1,5 +1,15 @@
 export { CallerListener } from './callerListener';
+export { type RequestLimits, DEFAULT_REQUEST_LIMITS } from './requestLimits';
 export { RelayListener } from './relayListener';
-export { Forwarder, type ForwarderContext, type PlacementResult } from './forwarder';
+export { Forwarder } from './forwarder';
+export { type ForwarderContext } from './forwarderContext';
+export { type EntryRun } from './entryRun';
+export { type Call } from './call';
+export { type Placed } from './placed';
+export { type PlacementFailure } from './placementFailure';
+export { type AttemptObserver } from './attemptObserver';
+export { LoadGuard } from './loadGuard';
+export { ForwardingMetrics } from './forwardingMetrics';
+export { FORWARDING_METRICS } from './metrics';
 export { ConnectionPools } from './connectionPools';
 export { FORWARDING_EVENTS } from './events';
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -1,6 +1,6 @@
 import { Err, Ok, type Result } from 'ts-results';
 
-import { notRun, type NotRun, type OutcomeUnknown } from '../outcomes';
+import { notRun, type NotRun } from '../outcomes';
 import { type Choice, type PoolState } from '../routing';
 import { type Clock } from '../runtime';
 
@@ -8,16 +8,24 @@
 import { type Call } from './call';
 import { type ConnectionPools } from './connectionPools';
 import {
+  AVOID_HEADER,
+  BAGGAGE_HEADER,
   CALL_ID_HEADER,
   CLASS_HEADER,
   ENTRY_HEADER,
+  type HeaderMap,
   IDEMPOTENT_HEADER,
   OUTCOME_HEADER,
   OWNER_STATE_HEADER,
   PEER_SECRET_HEADER,
   SERVICE_HEADER,
+  SUSPECT_HEADER,
+  TARGET_HEADER,
   TIMEOUT_HEADER,
 } from './headers';
+import { readOwnerState } from './ownerState';
+import { type Placed } from './placed';
+import { readRelayedOutcome } from './relayRefusal';
 import { type Answer } from './transmission';
 import { transmit } from './transmit';
 
@@ -34,36 +42,53 @@
 }
 
 const RELAY_CONNECTIONS = 256;
+// The owner's deadline lies this much before the entry's, so that its "not run" still arrives.
+const ANSWER_MARGIN_MS = 5;
 
-/** Writes the load of a pool as a header value. */
-export function writeOwnerState(state: PoolState): string {
-  return `${state.limit},${state.inFlight},${state.queued},${state.medianMs.toFixed(1)}`;
+function timeLeft(deadline: number, clock: Clock): number {
+  const left = deadline - clock.now();
+  return Math.max(0, Math.floor(left > 2 * ANSWER_MARGIN_MS ? left - ANSWER_MARGIN_MS : left / 2));
 }
 
-function readOwnerState(value: string): PoolState | null {
-  const [limit, inFlight, queued, medianMs] = value.split(',').map(Number);
-  const numbers = [limit, inFlight, queued, medianMs];
-  if (numbers.some((number) => number === undefined || !Number.isFinite(number))) return null;
-  return { limit: limit!, inFlight: inFlight!, queued: queued!, medianMs: medianMs! };
+function headersFor(call: Call, context: RelayContext): HeaderMap {
+  const { traits } = call;
+  const headers: HeaderMap = {
+    ...call.headers,
+    [PEER_SECRET_HEADER]: context.peerSecret,
+    [ENTRY_HEADER]: context.hostId,
+    [CALL_ID_HEADER]: traits.callId,
+    [SERVICE_HEADER]: traits.service,
+    [CLASS_HEADER]: traits.class,
+    [IDEMPOTENT_HEADER]: traits.idempotent ? 'yes' : 'no',
+    [TIMEOUT_HEADER]: String(timeLeft(traits.deadline, context.clock)),
+    [BAGGAGE_HEADER]: call.baggage,
+  };
+  if (traits.avoid.size > 0) headers[AVOID_HEADER] = [...traits.avoid].join(',');
+  if (traits.suspect !== null) headers[SUSPECT_HEADER] = traits.suspect;
+  return headers;
+}
+
+function departureCheck(call: Call, context: RelayContext): Result<void, NotRun> {
+  if (!context.viewIsCurrent()) return Err(notRun('view-expired', 'this host is cut off'));
+  if (call.record.beginSend()) return Ok.EMPTY;
+  return Err(notRun('refused-by-target', 'a non-idempotent call is sent only once'));
 }
 
-async function readRefusal(answer: Answer): Promise<NotRun> {
-  const chunks: Buffer[] = [];
-  await new Promise<void>((resolve) => {
-    answer.streamTo({
-      data: (chunk) => {
-        chunks.push(chunk);
-        return true;
-      },
-      end: () => resolve(),
+async function takeAnswer(call: Call, answer: Answer): Promise<Placed> {
+  const named = answer.headers[TARGET_HEADER];
+  const target = typeof named === 'string' && named !== '' ? named : null;
+  const told = answer.headers[OUTCOME_HEADER];
+  if (told !== 'not-run' && told !== 'outcome-unknown') {
+    return Ok({
+      status: answer.status,
+      headers: answer.headers,
+      target: target ?? '',
+      streamTo: (sink) => answer.streamTo(sink),
+      cancel: () => answer.cancel(),
     });
-  });
-  try {
-    const problem = JSON.parse(Buffer.concat(chunks).toString()) as Record<string, unknown>;
-    return notRun(problem.reason as NotRun['reason'], String(problem.detail));
-  } catch {
-    return notRun('overloaded', 'the owner refused the call');
   }
+  if (told === 'not-run') call.record.sendDidNotRun();
+  return Err({ outcome: await readRelayedOutcome(answer, told), target });
 }
 
 /** Sends a call to the owner that was chosen; the owner sends it to one of its targets. */
@@ -71,37 +96,23 @@
   call: Call,
   choice: Choice,
   context: RelayContext,
-): Promise<Result<Answer, NotRun | OutcomeUnknown>> {
+): Promise<Placed> {
   const { host } = choice.owner;
-  const { traits } = call;
   const head = await transmit(
     context.pools.to(host.address, host.relay_port, RELAY_CONNECTIONS),
     {
       method: call.method,
       path: call.path,
       body: call.body,
-      deadline: traits.deadline,
-      signal: call.signal,
-      headers: {
-        ...call.headers,
-        [PEER_SECRET_HEADER]: context.peerSecret,
-        [ENTRY_HEADER]: context.hostId,
-        [CALL_ID_HEADER]: traits.callId,
-        [SERVICE_HEADER]: traits.service,
-        [CLASS_HEADER]: traits.class,
-        [IDEMPOTENT_HEADER]: traits.idempotent ? 'yes' : 'no',
-        [TIMEOUT_HEADER]: String(Math.max(0, Math.floor(traits.deadline - context.clock.now()))),
-      },
-      mayLeave: () =>
-        context.viewIsCurrent() ? Ok.EMPTY : Err(notRun('view-expired', 'this host is cut off')),
+      deadline: call.traits.deadline,
+      cancellation: call.cancellation,
+      headers: headersFor(call, context),
+      mayLeave: () => departureCheck(call, context),
     },
     context.clock,
   );
-  if (head.err) return Err(outcomeOf(head.val));
-  const answer = head.val;
-  const state = answer.headers[OWNER_STATE_HEADER];
-  const read = typeof state === 'string' ? readOwnerState(state) : null;
-  if (read !== null) context.learn(traits.service, host.host, read);
-  if (answer.headers[OUTCOME_HEADER] === 'not-run') return Err(await readRefusal(answer));
-  return Ok(answer);
+  if (head.err) return Err({ outcome: outcomeOf(head.val), target: null });
+  const state = readOwnerState(head.val.headers[OWNER_STATE_HEADER]);
+  if (state !== null) context.learn(call.traits.service, host.host, state);
+  return takeAnswer(call, head.val);
 }
--- a/src/forwarding/relayListener.ts
+++ b/src/forwarding/relayListener.ts
@@ -1,102 +1,136 @@
 import { timingSafeEqual } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
+import { Err } from 'ts-results';
+
 import { type EventLog } from '../logging';
-import { notRun } from '../outcomes';
+import { notRun, type NotRun, OutcomeRecorder, outcomeUnknown } from '../outcomes';
 
+import { answerCall } from './answerCall';
 import { type Call } from './call';
-import { type CallBody } from './callBody';
+import { Cancellation } from './cancellation';
 import { FORWARDING_EVENTS } from './events';
-import { type Forwarder, type ForwarderContext } from './forwarder';
+import { type Forwarder } from './forwarder';
+import { type ForwarderContext } from './forwarderContext';
 import {
   CALL_ID_HEADER,
-  CLASS_HEADER,
   endToEndHeaders,
-  IDEMPOTENT_HEADER,
+  type HeaderMap,
   OWNER_STATE_HEADER,
   PEER_SECRET_HEADER,
-  SERVICE_HEADER,
-  TIMEOUT_HEADER,
+  TARGET_HEADER,
 } from './headers';
-import { writeOwnerState } from './relay';
+import { writeOwnerState } from './ownerState';
+import { type Placed } from './placed';
+import { readRelayedTraits } from './readRelayedTraits';
+import { hasBody } from './readBody';
+import { StreamedBody } from './streamedBody';
 import { writeProblem } from './writeProblem';
 
 const HEADER_LIMIT_BYTES = 32 * 1024;
 const IDLE_LIMIT_MS = 60_000;
 
-function textHeader(request: IncomingMessage, name: string): string {
-  const value = request.headers[name];
-  return typeof value === 'string' ? value : '';
-}
-
 /** Accepts calls that other hosts relay to this one. */
 export class RelayListener {
   readonly server: Server;
 
   private readonly expected: Buffer;
 
+  private readonly recorder: OutcomeRecorder;
+
   constructor(
     private readonly context: ForwarderContext,
     private readonly forwarder: Forwarder,
     private readonly events: EventLog,
   ) {
     this.expected = Buffer.from(context.relay.peerSecret);
+    // Outcomes of relayed calls are counted at their entries; only violations count here too.
+    this.recorder = new OutcomeRecorder((violation) => context.recorder.violation(violation));
     this.server = createServer(
       { maxHeaderSize: HEADER_LIMIT_BYTES, keepAliveTimeout: IDLE_LIMIT_MS, requestTimeout: 0 },
-      (request, response) => {
-        void this.handle(request, response);
-      },
+      (request, response) => this.accept(request, response),
     );
   }
 
-  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const callId = textHeader(request, CALL_ID_HEADER);
+  private accept(request: IncomingMessage, response: ServerResponse): void {
+    const callId = String(request.headers[CALL_ID_HEADER] ?? '');
     if (!this.isPeer(request)) {
       this.events.emit(FORWARDING_EVENTS.strangerRelay, { from: request.socket.remoteAddress });
       writeProblem(response, notRun('bad-request', 'the peer secret is missing or wrong'), callId);
       return;
     }
-    const call = this.readCall(request, response, callId);
-    const result = await this.forwarder.runHere(call);
-    const state = this.context.router.pool(call.traits.service).state();
-    this.forwarder.answer(call, result, response, { [OWNER_STATE_HEADER]: writeOwnerState(state) });
+    const call = this.readCall(request, callId);
+    const refusal = this.admit(call);
+    if (refusal !== null) {
+      writeProblem(response, refusal, callId, this.stateHeaders(call));
+      call.record.end('not-run');
+      return;
+    }
+    response.once('close', () => {
+      this.context.loadGuard.release();
+      if (!response.writableFinished) call.cancellation.cancel();
+    });
+    void this.runCall(call, response);
+  }
+
+  private admit(call: Call): NotRun | null {
+    const view = this.context.fleet.view();
+    if (view === null || !this.context.router.viewIsCurrent()) {
+      return notRun('view-expired', 'the owner is cut off');
+    }
+    if (!view.sheet.services.has(call.traits.service)) {
+      return notRun('no-usable-target', 'the owner does not know the service');
+    }
+    return this.context.loadGuard.admit(view.sheet, call.traits.class);
+  }
+
+  private async runCall(call: Call, response: ServerResponse): Promise<void> {
+    try {
+      const placed = await this.forwarder.runHere(call);
+      answerCall(call, placed, response, this.answerHeaders(call, placed));
+    } catch (error) {
+      this.events.emit(FORWARDING_EVENTS.callFailed, { callId: call.traits.callId, error });
+      if (call.record.outcome !== null) {
+        response.destroy();
+        return;
+      }
+      const outcome = outcomeUnknown('connection-lost', 'the owner failed to handle the call');
+      answerCall(call, Err({ outcome, target: null }), response, {});
+    }
+  }
+
+  private stateHeaders(call: Call): HeaderMap {
+    const { service } = call.traits;
+    if (!this.context.fleet.view()?.sheet.services.has(service)) return {};
+    return { [OWNER_STATE_HEADER]: writeOwnerState(this.context.router.pool(service).state()) };
+  }
+
+  private answerHeaders(call: Call, placed: Placed): HeaderMap {
+    const headers = this.stateHeaders(call);
+    const { target } = placed.val;
+    if (target !== null) headers[TARGET_HEADER] = target;
+    return headers;
   }
 
   private isPeer(request: IncomingMessage): boolean {
-    const given = Buffer.from(textHeader(request, PEER_SECRET_HEADER));
+    const given = Buffer.from(String(request.headers[PEER_SECRET_HEADER] ?? ''));
     return given.length === this.expected.length && timingSafeEqual(given, this.expected);
   }
 
-  private readCall(request: IncomingMessage, response: ServerResponse, callId: string): Call {
-    const callerGone = new AbortController();
-    response.once('close', () => callerGone.abort());
+  private readCall(request: IncomingMessage, callId: string): Call {
+    const traits = readRelayedTraits(request.headers, callId, this.context.clock);
     return {
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       headers: endToEndHeaders(request.headers),
-      body: this.bodyOf(request),
-      signal: callerGone.signal,
-      traits: {
-        callId,
-        service: textHeader(request, SERVICE_HEADER),
-        class: textHeader(request, CLASS_HEADER),
-        idempotent: textHeader(request, IDEMPOTENT_HEADER) === 'yes',
-        deadline: this.context.clock.now() + Number(textHeader(request, TIMEOUT_HEADER)),
-        suspect: null,
-        avoid: new Set(),
-      },
-    };
-  }
-
-  private bodyOf(request: IncomingMessage): CallBody {
-    const declared = request.headers['content-length'];
-    if (declared === undefined && request.headers['transfer-encoding'] === undefined) {
-      return { kind: 'none' };
-    }
-    return {
-      kind: 'stream',
-      stream: request,
-      length: declared === undefined ? null : Number(declared),
+      body: hasBody(request)
+        ? { kind: 'stream', stream: new StreamedBody(request) }
+        : { kind: 'none' },
+      baggage: String(request.headers.baggage ?? ''),
+      depth: 0,
+      cancellation: new Cancellation(),
+      record: this.recorder.begin(traits.idempotent),
+      traits,
     };
   }
 }
--- a/src/forwarding/responseSink.ts
+++ b/src/forwarding/responseSink.ts
@@ -19,8 +19,8 @@
   }
 
   end(end: BodyEnd): void {
-    if (end === 'truncated') this.response.destroy();
-    else this.response.end();
+    if (end === 'whole') this.response.end();
+    else this.response.destroy();
     this.ended(end);
   }
 
--- a/src/forwarding/transmit.ts
+++ b/src/forwarding/transmit.ts
@@ -1,4 +1,5 @@
 import { type IncomingHttpHeaders } from 'node:http';
+import { type Readable } from 'node:stream';
 
 import { Err, Ok, type Result } from 'ts-results';
 import { type Dispatcher } from 'undici';
@@ -19,6 +20,11 @@
 
 // What may be held back while the answer's reader is not known yet.
 const HELD_BACK_BYTES = 64 * 1024;
+// undici's codes for requests that it does not put on the wire.
+const INVALID_REQUEST_CODES: ReadonlySet<string> = new Set([
+  'UND_ERR_INVALID_ARG',
+  'UND_ERR_NOT_SUPPORTED',
+]);
 
 /** Carries one request through undici and hands over the answer as soon as its head is there. */
 class TransmissionHandler implements Dispatcher.DispatchHandler {
@@ -30,6 +36,8 @@
 
   private aborted: 'deadline' | 'cancelled' | null = null;
 
+  private settled = false;
+
   private headArrived = false;
 
   private sink: BodySink | null = null;
@@ -46,11 +54,11 @@
 
   constructor(
     private readonly transmission: Transmission,
-    clock: Clock,
-    private readonly settle: (head: HeadResult) => void,
+    private readonly clock: Clock,
+    private readonly resolve: (head: HeadResult) => void,
   ) {
     this.timer = clock.setTimer(transmission.deadline, () => this.stop('deadline'));
-    transmission.signal.addEventListener('abort', this.onCallerGone, { once: true });
+    transmission.cancellation.add(this.onCallerGone);
   }
 
   onRequestStart(controller: Controller): void {
@@ -60,14 +68,16 @@
       return;
     }
     // undici may offer a request to a second connection; a call is sent at most once.
-    const allowed = this.sent
-      ? Err(notRun('refused-by-target', 'the connection closed'))
-      : this.transmission.mayLeave();
+    if (this.sent) {
+      controller.abort(new Error('the connection closed'));
+      return;
+    }
+    const allowed = this.checkDeparture();
     if (allowed.ok) {
       this.sent = true;
       return;
     }
-    if (!this.sent) this.refusal = allowed.val;
+    this.refusal = allowed.val;
     controller.abort(new Error('the call may not leave'));
   }
 
@@ -79,6 +89,7 @@
       Ok({
         status,
         headers,
+        target: '',
         streamTo: (sink) => this.attach(sink),
         cancel: () => this.stop('cancelled'),
       }),
@@ -102,7 +113,7 @@
   onResponseError(_controller: Controller, error: Error): void {
     this.release();
     if (this.headArrived) {
-      this.finishBody('truncated');
+      this.finishBody(this.aborted ?? 'lost');
       return;
     }
     this.settle(Err(this.failure(error)));
@@ -118,18 +129,38 @@
       return;
     }
     // Still waiting for a connection: the request is refused when undici offers it one.
-    this.settle(Err({ kind: 'not-sent', refusal: this.refusalFor(cause), detail: cause }));
+    this.settle(Err({ kind: 'withheld', refusal: this.withheldFor(cause) }));
   }
 
-  private refusalFor(cause: 'deadline' | 'cancelled'): NotRun | null {
-    return cause === 'deadline' ? notRun('deadline', 'no connection before the deadline') : null;
+  private settle(head: HeadResult): void {
+    if (this.settled) return;
+    this.settled = true;
+    this.resolve(head);
+  }
+
+  private checkDeparture(): Result<void, NotRun> {
+    if (this.clock.now() >= this.transmission.deadline) {
+      return Err(notRun('deadline', 'the deadline passed before the call was sent'));
+    }
+    return this.transmission.mayLeave();
+  }
+
+  private withheldFor(cause: 'deadline' | 'cancelled'): NotRun {
+    return cause === 'deadline'
+      ? notRun('deadline', 'no connection before the deadline')
+      : notRun('deadline', 'the call was cancelled before it was sent');
   }
 
   private failure(error: Error): TransmissionFailure {
     const detail = error.message;
     if (this.sent && this.aborted !== null) return { kind: this.aborted, detail };
     if (this.sent) return { kind: 'lost', detail };
-    return { kind: 'not-sent', refusal: this.refusal, detail };
+    if (this.refusal !== null) return { kind: 'withheld', refusal: this.refusal };
+    if (this.aborted !== null) return { kind: 'withheld', refusal: this.withheldFor(this.aborted) };
+    if (INVALID_REQUEST_CODES.has(String((error as NodeJS.ErrnoException).code))) {
+      return { kind: 'withheld', refusal: notRun('bad-request', detail) };
+    }
+    return { kind: 'connect-failed', detail };
   }
 
   private attach(sink: BodySink): void {
@@ -155,14 +186,16 @@
 
   private release(): void {
     this.timer.cancel();
-    this.transmission.signal.removeEventListener('abort', this.onCallerGone);
+    this.transmission.cancellation.remove(this.onCallerGone);
   }
 }
 
 function bodyOf(transmission: Transmission): Dispatcher.DispatchOptions['body'] {
   const { body } = transmission;
   if (body.kind === 'none') return null;
-  return body.kind === 'buffered' ? body.bytes : body.stream;
+  if (body.kind === 'buffered') return body.bytes;
+  // undici takes any async iterable, which its types do not say.
+  return body.stream as unknown as Readable;
 }
 
 /** Sends one request; resolves when the head of the answer arrives or the request fails. */
--- a/src/forwarding/writeProblem.ts
+++ b/src/forwarding/writeProblem.ts
@@ -9,6 +9,7 @@
   response: ServerResponse,
   outcome: NotRun | OutcomeUnknown,
   callId: string,
+  extra: OutgoingHttpHeaders = {},
 ): void {
   if (response.headersSent || response.destroyed) return;
   const { retryAfter, ...problem } = problemOf(outcome);
@@ -18,6 +19,7 @@
   const headers: OutgoingHttpHeaders = {
     'content-type': 'application/problem+json',
     'content-length': body.length,
+    ...extra,
     [OUTCOME_HEADER]: outcome.kind,
     'proxy-status': `limpetknot; error=${outcome.kind}; details="${problem.reason}"`,
   };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,12 +6,17 @@
   ConnectionPools,
   Forwarder,
   type ForwarderContext,
+  FORWARDING_EVENTS,
+  ForwardingMetrics,
+  LoadGuard,
   RelayListener,
 } from '../forwarding';
 import { Lifecycle } from '../lifecycle';
 import { type DecisionLog, type EventLog } from '../logging';
+import { type MetricsSink, SilentSink } from '../metrics';
+import { OutcomeRecorder } from '../outcomes';
 import { Router } from '../routing';
-import { type Clock, type Random } from '../runtime';
+import { type Clock, type Random, type Timer } from '../runtime';
 import { type GatewaySettings } from '../settings';
 
 import { GATEWAY_EVENTS } from './events';
@@ -24,19 +29,31 @@
   readonly events: EventLog;
   readonly decisions: DecisionLog;
   readonly fleet: Fleet;
+  /** Where metrics go; nowhere when absent. */
+  readonly metrics?: MetricsSink;
 }
 
 /** A running gateway. */
 export interface Gateway {
   readonly callerPort: number;
   readonly relayPort: number;
+  /** Outcomes of the calls of this host's callers, and violations of the outcome rules. */
+  readonly outcomes: OutcomeRecorder;
   /** Closes all resources in reverse order of opening. */
   close(): Promise<void>;
 }
 
 function makeContext(settings: GatewaySettings, parts: GatewayParts): ForwarderContext {
   const router = new Router(parts.fleet, parts.clock, parts.random);
+  const loadGuard = new LoadGuard(parts.clock);
+  const recorder = new OutcomeRecorder((violation) =>
+    parts.events.emit(FORWARDING_EVENTS.outcomeViolated, { violation }),
+  );
   return {
+    loadGuard,
+    recorder,
+    metrics: new ForwardingMetrics(recorder, loadGuard, parts.metrics ?? new SilentSink()),
+    observer: { lost: () => {}, unreachable: () => {}, answered: () => {} },
     hostId: settings['host-id'],
     fleet: parts.fleet,
     router,
@@ -54,6 +71,21 @@
   };
 }
 
+const METRICS_INTERVAL_MS = 1000;
+
+/** Flushes the forwarding metrics every second; returns the function that ends it. */
+function startFlushing(context: ForwarderContext, clock: Clock): () => void {
+  let timer: Timer;
+  const arm = () => {
+    timer = clock.setTimer(clock.now() + METRICS_INTERVAL_MS, () => {
+      context.metrics.flush();
+      arm();
+    });
+  };
+  arm();
+  return () => timer.cancel();
+}
+
 /** Starts the listeners of one gateway process. */
 export async function startGateway(
   settings: GatewaySettings,
@@ -65,7 +97,10 @@
   lifecycle.own('relay connections', () => context.relay.pools.close());
   const forwarder = new Forwarder(context);
   const relay = new RelayListener(context, forwarder, parts.events);
-  const callers = new CallerListener(context, forwarder);
+  const callers = new CallerListener(context, (call) => forwarder.runEntry(call), parts.events);
+  context.loadGuard.start();
+  lifecycle.own('event-loop samples', () => context.loadGuard.stop());
+  lifecycle.own('metrics flush', startFlushing(context, parts.clock));
   const { address } = settings;
   const relayPort = await listen(relay.server, address, settings['relay-port'], lifecycle);
   const callerPort = relayPort.ok
@@ -79,6 +114,7 @@
   return Ok({
     callerPort: callerPort.val,
     relayPort: relayPort.val,
+    outcomes: context.recorder,
     close: async () => {
       const errors = await lifecycle.close();
       for (const error of errors) {
--- a/src/outcomes/index.ts
+++ b/src/outcomes/index.ts
@@ -1,4 +1,4 @@
-export { type NotRunReason } from './notRunReason';
+export { type NotRunReason, isNotRunReason } from './notRunReason';
 export { type NotRun, notRun } from './notRun';
 export { type OutcomeUnknown, outcomeUnknown } from './outcomeUnknown';
 export {
@@ -8,3 +8,7 @@
   OUTCOME_UNKNOWN_TYPE,
   DUPLICATE_TYPE,
 } from './problem';
+export { type OutcomeKind } from './outcomeKind';
+export { type OutcomeViolation } from './outcomeViolation';
+export { OutcomeRecorder } from './outcomeRecorder';
+export { OutcomeRecord } from './outcomeRecord';
--- a/src/outcomes/problem.ts
+++ b/src/outcomes/problem.ts
@@ -27,8 +27,11 @@
 
 const REFUSAL_FORMS: Readonly<Record<NotRunReason, RefusalForm>> = {
   'bad-request': { status: 400, retryAfter: null },
+  'method-refused': { status: 405, retryAfter: null },
+  'slow-request': { status: 408, retryAfter: null },
   'unknown-service': { status: 404, retryAfter: null },
   'too-large': { status: 413, retryAfter: null },
+  'headers-too-large': { status: 431, retryAfter: null },
   overloaded: { status: 503, retryAfter: 1 },
   'no-usable-target': { status: 503, retryAfter: 2 },
   deadline: { status: 504, retryAfter: null },
@@ -36,6 +39,7 @@
   stopping: { status: 503, retryAfter: 1 },
   'refused-by-target': { status: 503, retryAfter: 1 },
   'key-home-unreachable': { status: 503, retryAfter: 3 },
+  'key-reused': { status: 422, retryAfter: null },
   duplicate: { status: 409, retryAfter: null },
   'crashes-targets': { status: 422, retryAfter: null },
 };
--- a/src/routing/servicePool.ts
+++ b/src/routing/servicePool.ts
@@ -8,6 +8,8 @@
 import { type PoolState } from './poolState';
 import { type Slot } from './slot';
 
+const NOTHING: ReadonlySet<string> = new Set();
+
 interface OwnTarget {
   readonly target: Target;
   inFlight: number;
@@ -39,7 +41,7 @@
 
   /** A slot of the least loaded target, at once or when one is free before the deadline. */
   acquire(call: CallTraits): Promise<Result<Slot, NotRun>> {
-    const target = this.leastLoaded();
+    const target = this.leastLoaded(call.avoid) ?? this.leastLoaded(NOTHING);
     if (target !== null) return Promise.resolve(Ok(this.take(target)));
     return new Promise((resolve) => {
       const waiter: Waiter = {
@@ -63,10 +65,10 @@
     };
   }
 
-  private leastLoaded(): OwnTarget | null {
+  private leastLoaded(avoid: ReadonlySet<string>): OwnTarget | null {
     let best: OwnTarget | null = null;
     for (const each of this.targets) {
-      if (each.inFlight >= each.target.slots) continue;
+      if (each.inFlight >= each.target.slots || avoid.has(each.target.target)) continue;
       if (best === null || each.inFlight < best.inFlight) best = each;
     }
     return best;
@@ -89,7 +91,7 @@
   }
 
   private grantNext(): void {
-    const target = this.leastLoaded();
+    const target = this.leastLoaded(NOTHING);
     const waiter = target === null ? undefined : this.waiting.shift();
     if (target === null || waiter === undefined) return;
     waiter.timer.cancel();
--- /dev/null
+++ b/test/support/localFleet.ts
@@ -0,0 +1,79 @@
+import Logger from 'bunyan';
+import { Writable } from 'node:stream';
+
+import { freePort, type SheetService, sheetText } from '../../standins';
+import { FixedFleet, type Fleet } from '../../src/fleet';
+import { BufferedWriter, DecisionLog, EventLog } from '../../src/logging';
+import { startGateway, type Gateway, type GatewayParts } from '../../src/gateway';
+import { SeededRandom, SystemClock } from '../../src/runtime';
+import { GATEWAY_SETTINGS, readSettings } from '../../src/settings';
+import { parseSheet, type Sheet } from '../../src/sheet';
+
+/** Gateways of one fleet inside the test's process. */
+export interface LocalFleet {
+  readonly gateways: readonly Gateway[];
+  /** Base URLs for callers, by host. */
+  readonly urls: readonly string[];
+  readonly sheet: Sheet;
+  stop(): Promise<void>;
+}
+
+/** What a test changes about its fleet. */
+export interface LocalFleetOptions {
+  readonly hosts?: number;
+  readonly services: readonly SheetService[];
+  /** Rewrites the sheet, for instance to add operations. */
+  readonly sheet?: (text: string) => string;
+  /** Wraps the fleet of a host, for instance to let its view expire. */
+  readonly fleet?: (hostId: string, fleet: Fleet) => Fleet;
+}
+
+function partsFor(fleet: Fleet, hostId: string): GatewayParts {
+  const nowhere = new Writable({ write: (_chunk, _encoding, done) => done() });
+  const logger = Logger.createLogger({ name: 'test', streams: [] });
+  return {
+    clock: new SystemClock(),
+    random: new SeededRandom(1),
+    events: new EventLog(logger),
+    decisions: new DecisionLog(new BufferedWriter(nowhere), 'test', hostId, () => new Date()),
+    fleet,
+  };
+}
+
+/** Starts gateways on loopback ports with a fixed fleet. */
+export async function startLocalFleet(options: LocalFleetOptions): Promise<LocalFleet> {
+  const hosts = await Promise.all(
+    Array.from({ length: options.hosts ?? 1 }, async (_none, index) => ({
+      id: `host-${index + 1}`,
+      zone: 'zone-1',
+      callerPort: await freePort(),
+      relayPort: await freePort(),
+      peerPort: 10_001 + index,
+      operatorPort: 20_001 + index,
+    })),
+  );
+  const text = sheetText({ version: 1, zones: ['zone-1'], hosts, services: options.services });
+  const sheet = parseSheet((options.sheet ?? ((same) => same))(text)).unwrap();
+  const gateways: Gateway[] = [];
+  for (const host of hosts) {
+    const settings = readSettings(GATEWAY_SETTINGS, {
+      arguments: [
+        ...['--host-id', host.id, '--zone', host.zone, '--peer-secret', 'a-secret-for-tests-only'],
+        ...['--caller-port', String(host.callerPort), '--relay-port', String(host.relayPort)],
+        ...['--configuration-url', 'http://127.0.0.1:1', '--host-list-url', 'http://127.0.0.1:1'],
+      ],
+      environment: {},
+    }).unwrap().values;
+    const fixed = new FixedFleet(host.id, sheet);
+    const fleet = options.fleet?.(host.id, fixed) ?? fixed;
+    gateways.push((await startGateway(settings, partsFor(fleet, host.id))).unwrap());
+  }
+  return {
+    gateways,
+    sheet,
+    urls: hosts.map((host) => `http://127.0.0.1:${host.callerPort}`),
+    stop: async () => {
+      for (const gateway of gateways) await gateway.close();
+    },
+  };
+}
--- /dev/null
+++ b/test/support/rawTarget.ts
@@ -0,0 +1,49 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type AddressInfo } from 'node:net';
+
+type Handler = (request: IncomingMessage, response: ServerResponse, body: Buffer) => void;
+
+/** A target whose behaviour a test writes itself; it counts what reached it. */
+export class RawTarget {
+  readonly requests: { readonly method: string; readonly url: string; readonly body: string }[] =
+    [];
+
+  /** Requests whose connection the gateway closed before their answer was complete. */
+  cancelled = 0;
+
+  readonly headers: IncomingMessage['headers'][] = [];
+
+  private readonly server: Server;
+
+  constructor(public handler: Handler = (_request, response) => response.end('ok')) {
+    this.server = createServer((request, response) => {
+      const chunks: Buffer[] = [];
+      response.once('close', () => {
+        if (!response.writableFinished) this.cancelled += 1;
+      });
+      request.on('data', (chunk: Buffer) => chunks.push(chunk));
+      request.on('error', () => {});
+      request.once('end', () => {
+        const body = Buffer.concat(chunks);
+        const { method = '', url = '' } = request;
+        this.requests.push({ method, url, body: body.toString() });
+        this.headers.push(request.headers);
+        this.handler(request, response, body);
+      });
+    });
+  }
+
+  async start(): Promise<number> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+  }
+}
