--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
   ForwardingMetrics,
   LoadGuard,
   RelayListener,
+  type RequestLimits,
 } from '../forwarding';
 import { Lifecycle } from '../lifecycle';
 import { type DecisionLog, type EventLog } from '../logging';
@@ -31,6 +32,8 @@
   readonly fleet: Fleet;
   /** Where metrics go; nowhere when absent. */
   readonly metrics?: MetricsSink;
+  /** Limits on callers' requests; the usual ones when absent. */
+  readonly requestLimits?: RequestLimits;
 }
 
 /** A running gateway. */
@@ -97,7 +100,12 @@
   lifecycle.own('relay connections', () => context.relay.pools.close());
   const forwarder = new Forwarder(context);
   const relay = new RelayListener(context, forwarder, parts.events);
-  const callers = new CallerListener(context, (call) => forwarder.runEntry(call), parts.events);
+  const callers = new CallerListener(
+    context,
+    (call) => forwarder.runEntry(call),
+    parts.events,
+    parts.requestLimits,
+  );
   context.loadGuard.start();
   lifecycle.own('event-loop samples', () => context.loadGuard.stop());
   lifecycle.own('metrics flush', startFlushing(context, parts.clock));
--- a/test/support/localFleet.ts
+++ b/test/support/localFleet.ts
@@ -3,6 +3,7 @@
 
 import { freePort, type SheetService, sheetText } from '../../standins';
 import { FixedFleet, type Fleet } from '../../src/fleet';
+import { type RequestLimits } from '../../src/forwarding';
 import { BufferedWriter, DecisionLog, EventLog } from '../../src/logging';
 import { startGateway, type Gateway, type GatewayParts } from '../../src/gateway';
 import { SeededRandom, SystemClock } from '../../src/runtime';
@@ -22,13 +23,14 @@
 export interface LocalFleetOptions {
   readonly hosts?: number;
   readonly services: readonly SheetService[];
+  readonly requestLimits?: RequestLimits;
   /** Rewrites the sheet, for instance to add operations. */
   readonly sheet?: (text: string) => string;
   /** Wraps the fleet of a host, for instance to let its view expire. */
   readonly fleet?: (hostId: string, fleet: Fleet) => Fleet;
 }
 
-function partsFor(fleet: Fleet, hostId: string): GatewayParts {
+function partsFor(fleet: Fleet, hostId: string, requestLimits?: RequestLimits): GatewayParts {
   const nowhere = new Writable({ write: (_chunk, _encoding, done) => done() });
   const logger = Logger.createLogger({ name: 'test', streams: [] });
   return {
@@ -37,6 +39,7 @@
     events: new EventLog(logger),
     decisions: new DecisionLog(new BufferedWriter(nowhere), 'test', hostId, () => new Date()),
     fleet,
+    requestLimits,
   };
 }
 
@@ -66,7 +69,9 @@
     }).unwrap().values;
     const fixed = new FixedFleet(host.id, sheet);
     const fleet = options.fleet?.(host.id, fixed) ?? fixed;
-    gateways.push((await startGateway(settings, partsFor(fleet, host.id))).unwrap());
+    gateways.push(
+      (await startGateway(settings, partsFor(fleet, host.id, options.requestLimits))).unwrap(),
+    );
   }
   return {
     gateways,
