--- a/src/fleet/fixedFleet.ts
+++ b/src/fleet/fixedFleet.ts
@@ -34,7 +34,7 @@
         reason: 'fixed membership',
       },
       operations: new OperationIndex(sheet),
-      owners: groupOwners(sheet, assignment, []),
+      owners: groupOwners(sheet, assignment.owners, []),
       owned: new Map(owned.map((each) => [each.target.target, each])),
     });
   }
--- a/src/fleet/ownership.ts
+++ b/src/fleet/ownership.ts
@@ -64,25 +64,25 @@
 /** Owners of each service's targets that are in service. */
 export function groupOwners(
   sheet: Sheet,
-  assignment: Assignment,
+  owners: ReadonlyMap<string, string>,
   zonesOut: readonly string[],
 ): ReadonlyMap<string, readonly Owner[]> {
   const groups = new Map<string, readonly Owner[]>();
   for (const [service, targets] of sheet.targetsOf) {
     const byHost = new Map<string, Target[]>();
     for (const target of targets) {
-      const owner = assignment.owners.get(target.target);
+      const owner = owners.get(target.target);
       if (owner === undefined || zonesOut.includes(target.zone)) continue;
       const group = byHost.get(owner);
       if (group === undefined) byHost.set(owner, [target]);
       else group.push(target);
     }
-    const owners = [...byHost].map(([hostId, owned]) => ({
+    const grouped = [...byHost].map(([hostId, owned]) => ({
       host: sheet.hosts.get(hostId)!,
       targets: owned,
       slots: owned.reduce((sum, target) => sum + target.slots, 0),
     }));
-    groups.set(service, owners);
+    groups.set(service, grouped);
   }
   return groups;
 }
--- a/src/routing/targetChoice.ts
+++ b/src/routing/targetChoice.ts
@@ -69,7 +69,10 @@
   const onlyOut = groups.trusted.length === 0;
   if (call.idempotent || onlyOut) {
     const out = groups.out.find(
-      (state) => state.outage.trialIsDue(now) && mayTry(state, call, now),
+      (state) =>
+        state.outage.trialIsDue(now) &&
+        mayTry(state, call, now) &&
+        (onlyOut || !call.avoid.has(state.target.target)),
     );
     if (out !== undefined) return { state: out, reason: 'trial after an outage' };
   }
