Target stand-in: faults, records and a control port

Cause: the target stand-in only answered after a fixed time, so no failure of a target could be tried. Change: settable slots, service times, straggler, fail fast, shedding, cold start, drain, lagging reports, deadlines, cancellation, crash, truncated answers and a chain; a record of each call with its final state; a control port for stand-ins in their own process. The platform stand-in can publish late and serve half a sheet. Conclusion: runs, inFlight, highestInFlight and serviceTime keep their meaning for existing tests.

--- a/standins/index.ts
+++ b/standins/index.ts
@@ -1,5 +1,11 @@
 export { PlatformStandin, type PlatformMode } from './platform/platformStandin';
-export { TargetStandin, type RunRecord } from './target/targetStandin';
+export { TargetStandin } from './target/targetStandin';
+export { targetSettingsSchema, type TargetSettings } from './target/targetSettings';
+export { type RunRecord, type RunState } from './target/runRecord';
+export { RunLog } from './target/runLog';
+export { truthOf, type TargetTruth } from './target/targetTruth';
+export { controlApp } from './target/controlApp';
+export { MARK_HEADER, type Mark } from './target/marks';
 export {
   sheetText,
   type SheetParts,
--- a/standins/platform/platformStandin.ts
+++ b/standins/platform/platformStandin.ts
@@ -2,7 +2,7 @@
 import { type AddressInfo } from 'node:net';
 
 /** What the configuration service does with reads. */
-export type PlatformMode = 'normal' | 'down' | 'stale';
+export type PlatformMode = 'normal' | 'down' | 'stale' | 'partial';
 
 interface Watch {
   readonly after: number;
@@ -52,11 +52,20 @@
     return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
-  /** Publishes a sheet and wakes the watches below its version. */
-  publish(text: string): void {
-    this.earlier = this.published;
-    this.published = { version: versionOf(text), text };
-    for (const watch of [...this.watches]) this.answerWatch(watch);
+  /** Publishes a sheet after `lagMilliseconds` and wakes the watches below its version. */
+  publish(text: string, lagMilliseconds = 0): void {
+    const apply = () => {
+      this.earlier = this.published;
+      this.published = { version: versionOf(text), text };
+      for (const watch of [...this.watches]) this.answerWatch(watch);
+    };
+    if (lagMilliseconds === 0) apply();
+    else setTimeout(apply, lagMilliseconds).unref();
+  }
+
+  /** Watches that are waiting now. */
+  get waitingWatches(): number {
+    return this.watches.size;
   }
 
   /** Sets the host list after `lagMilliseconds`. */
@@ -100,7 +109,7 @@
     const current = this.current();
     if (after === null) {
       if (current === null) response.writeHead(404).end();
-      else response.writeHead(200, { etag: `"${current.version}"` }).end(current.text);
+      else this.send(current, response);
       return;
     }
     const wait = Number(url.searchParams.get('wait') ?? 0) * 1000;
@@ -118,7 +127,13 @@
     const current = this.current();
     if (current === null || current.version <= watch.after) return;
     this.dropWatch(watch);
-    watch.response.writeHead(200, { etag: `"${current.version}"` }).end(current.text);
+    this.send(current, watch.response);
+  }
+
+  /** In partial mode, half of the text arrives as if it were whole. */
+  private send({ version, text }: Published, response: ServerResponse): void {
+    const sent = this.mode === 'partial' ? text.slice(0, text.length / 2) : text;
+    response.writeHead(200, { etag: `"${version}"` }).end(sent);
   }
 
   private endWatch(watch: Watch): void {
--- /dev/null
+++ b/standins/target/laggingValue.ts
@@ -0,0 +1,31 @@
+interface Sample<Value> {
+  readonly at: number;
+  readonly value: Value;
+}
+
+const LARGEST_SAMPLES = 10_000;
+
+/** A value that is reported as it was some time ago. */
+export class LaggingValue<Value> {
+  private samples: Sample<Value>[] = [];
+
+  constructor(private readonly initial: Value) {}
+
+  /** Records the value as of now. */
+  set(value: Value): void {
+    this.samples.push({ at: performance.now(), value });
+    if (this.samples.length > LARGEST_SAMPLES) {
+      this.samples = this.samples.slice(LARGEST_SAMPLES / 2);
+    }
+  }
+
+  /** The value of `lagMs` ago. */
+  get(lagMs: number): Value {
+    const at = performance.now() - lagMs;
+    for (let index = this.samples.length - 1; index >= 0; index -= 1) {
+      const sample = this.samples[index]!;
+      if (sample.at <= at) return sample.value;
+    }
+    return this.initial;
+  }
+}
--- a/standins/target/targetStandin.ts
+++ b/standins/target/targetStandin.ts
@@ -1,70 +1,241 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { type AddressInfo } from 'node:net';
-
-/** One call that a target began to run. */
-export interface RunRecord {
-  readonly callId: string;
-  /** Idempotency-Key of the call, or its path. */
-  readonly key: string;
-  readonly startedAt: number;
-}
+import { type IncomingMessage, type ServerResponse } from 'node:http';
+
+import { Agent } from 'undici';
+
+import { type Random, SeededRandom } from '../../src/runtime';
+
+import { Listener } from '../listener';
+
+import { callNext } from './callNext';
+import { LaggingValue } from './laggingValue';
+import { markOf } from './marks';
+import { type PendingCall } from './pendingCall';
+import { RunLog } from './runLog';
+import { type RunRecord } from './runRecord';
+import { drawServiceTime } from './serviceTime';
+import { type TargetSettings, targetSettingsSchema } from './targetSettings';
+import { Temperature } from './temperature';
+
+const BREAKDOWN_FACTOR = 10;
 
 /** Stand-in for a target; it records what really ran. */
 export class TargetStandin {
-  /** All calls that began to run, in order. */
-  readonly runs: RunRecord[] = [];
+  readonly log = new RunLog();
+
+  private current: TargetSettings = targetSettingsSchema.parse({});
+
+  private running = 0;
+
+  private waiting: PendingCall[] = [];
+
+  private readonly temperature: Temperature;
+
+  private readonly random: Random;
+
+  private readonly agent = new Agent();
+
+  private readonly reportedLoad = new LaggingValue(0);
 
-  /** Time to answer a call, in milliseconds. */
-  serviceTime = 10;
+  private readonly reportedReady = new LaggingValue(true);
 
-  inFlight = 0;
+  private readonly listener = new Listener((request, response) => this.handle(request, response));
 
-  highestInFlight = 0;
+  private port = 0;
 
-  private readonly server: Server;
+  private returnTimer: NodeJS.Timeout | null = null;
 
-  constructor(readonly id: string) {
-    this.server = createServer((request, response) => this.handle(request, response));
+  constructor(
+    readonly id: string,
+    seed = 1,
+  ) {
+    this.temperature = new Temperature(id);
+    this.random = new SeededRandom(seed);
+  }
+
+  /** All calls that the target accepted, in order. */
+  get runs(): readonly RunRecord[] {
+    return this.log.runs;
+  }
+
+  get inFlight(): number {
+    return this.log.inFlight;
+  }
+
+  get highestInFlight(): number {
+    return this.log.highestInFlight;
+  }
+
+  get settings(): TargetSettings {
+    return this.current;
+  }
+
+  get instance(): string {
+    return this.temperature.instance;
+  }
+
+  get serviceTime(): number {
+    return this.current.serviceTimeMs;
+  }
+
+  /** Median time to answer a call, in milliseconds. */
+  set serviceTime(serviceTimeMs: number) {
+    this.configure({ serviceTimeMs });
+  }
+
+  /** Changes some settings; throws on values outside the schema. */
+  configure(changes: Partial<TargetSettings>): void {
+    this.current = targetSettingsSchema.parse({ ...this.current, ...changes });
+    this.reportedReady.set(!this.current.draining);
   }
 
   /** Starts listening on a loopback address and returns the port. */
   async start(port = 0): Promise<number> {
-    await new Promise<void>((resolve) => {
-      this.server.listen(port, '127.0.0.1', resolve);
-    });
-    return (this.server.address() as AddressInfo).port;
+    if (this.current.coldMs > 0) this.temperature.cool(this.current.coldMs);
+    this.port = await this.listener.open(port);
+    return this.port;
   }
 
   async stop(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
-      this.server.closeAllConnections();
-    });
+    if (this.returnTimer !== null) clearTimeout(this.returnTimer);
+    await this.listener.close();
+    await this.agent.destroy();
+  }
+
+  /** Turns cold again without warning, with another instance identity. */
+  turnCold(): void {
+    this.temperature.restart(this.current.coldMs);
+  }
+
+  /** Ends as a killed process does: closes listener and connections, returns after a time. */
+  crash(): void {
+    if (!this.listener.isOpen) return;
+    for (const run of this.log.runs) {
+      if (run.endedAt === null) this.log.end(run, 'crashed');
+    }
+    this.waiting = [];
+    this.running = 0;
+    void this.listener.close();
+    const { returnAfterMs } = this.current;
+    if (returnAfterMs === null) return;
+    this.returnTimer = setTimeout(() => {
+      this.temperature.restart(this.current.coldMs);
+      void this.listener.open(this.port);
+    }, returnAfterMs);
   }
 
   private handle(request: IncomingMessage, response: ServerResponse): void {
+    if (request.url === '/readyz') {
+      const ready = this.reportedReady.get(this.current.reportLagMs);
+      response.writeHead(ready ? 200 : 503, this.signals()).end();
+    } else if (markOf(request) === 'crash') {
+      this.accept(request, response, 1);
+      this.crash();
+    } else if (this.refuses()) {
+      this.log.refused += 1;
+      request.resume();
+      response.writeHead(503, { ...this.signals(), 'limpetknot-outcome': 'not-run' }).end();
+    } else if (this.temperature.isCold() && this.log.inFlight >= this.current.coldLimit) {
+      this.log.coldOverruns += 1;
+      if (this.current.coldBreakdown === 'reset') request.socket.resetAndDestroy();
+      else this.accept(request, response, BREAKDOWN_FACTOR);
+    } else {
+      this.accept(request, response, 1);
+    }
+  }
+
+  private refuses(): boolean {
+    const { shedding, beyondSlots, slots } = this.current;
+    return shedding || (beyondSlots === 'shed' && this.running >= slots);
+  }
+
+  private accept(request: IncomingMessage, response: ServerResponse, factor: number): void {
     const key = request.headers['idempotency-key'];
-    this.runs.push({
-      callId: String(request.headers['limpetknot-call-id'] ?? ''),
-      key: typeof key === 'string' ? key : (request.url ?? ''),
-      startedAt: performance.now(),
+    const run = this.log.begin(
+      String(request.headers['limpetknot-call-id'] ?? ''),
+      typeof key === 'string' ? key : (request.url ?? ''),
+    );
+    const call: PendingCall = { run, request, response, bytes: 0, factor };
+    this.reportedLoad.set(this.log.inFlight / this.current.slots);
+    response.once('close', () => this.end(call, 'cancelled'));
+    request.on('data', (chunk: Buffer) => {
+      call.bytes += chunk.length;
     });
-    this.inFlight += 1;
-    this.highestInFlight = Math.max(this.highestInFlight, this.inFlight);
-    const chunks: Buffer[] = [];
-    request.on('data', (chunk: Buffer) => chunks.push(chunk));
-    request.on('end', () => {
+    request.once('end', () => this.schedule(call));
+  }
+
+  private schedule(call: PendingCall): void {
+    if (call.run.endedAt !== null) return;
+    if (this.current.failing) {
+      if (this.end(call, 'failed')) call.response.writeHead(500, this.signals()).end('failed');
+    } else if (this.running < this.current.slots) {
+      this.run(call);
+    } else {
+      this.waiting.push(call);
+    }
+  }
+
+  private run(call: PendingCall): void {
+    this.running += 1;
+    call.run.state = 'running';
+    const time = drawServiceTime(this.current, this.random) * call.factor;
+    const left = Number(call.request.headers['limpetknot-timeout-ms'] ?? Number.POSITIVE_INFINITY);
+    if (left < time) {
+      setTimeout(() => this.stopAtDeadline(call), left);
+    } else if (time === 0) {
+      void this.complete(call);
+    } else {
       setTimeout(() => {
-        this.inFlight -= 1;
-        response.setHeader('content-type', 'application/json');
-        response.end(
-          JSON.stringify({
-            target: this.id,
-            path: request.url,
-            bytes: Buffer.concat(chunks).length,
-          }),
-        );
-      }, this.serviceTime);
+        void this.complete(call);
+      }, time);
+    }
+  }
+
+  private stopAtDeadline(call: PendingCall): void {
+    if (this.end(call, 'deadline')) call.response.writeHead(504, this.signals()).end();
+  }
+
+  private async complete(call: PendingCall): Promise<void> {
+    const { request, response } = call;
+    const { nextUrl } = this.current;
+    const status = nextUrl === '' ? 200 : await callNext(nextUrl, request, this.agent);
+    if (status !== 200) {
+      if (this.end(call, 'failed')) response.writeHead(502, this.signals()).end();
+      return;
+    }
+    if (!this.end(call, 'done')) return;
+    const body = JSON.stringify({ target: this.id, path: request.url, bytes: call.bytes }).padEnd(
+      this.current.answerBytes,
+    );
+    response.writeHead(200, {
+      ...this.signals(),
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
     });
+    if (markOf(request) !== 'truncate') response.end(body);
+    else response.write(body.slice(0, body.length / 2), () => request.socket.destroy());
+  }
+
+  /** Ends a call and starts the next waiting one; returns false when the call had ended before. */
+  private end(call: PendingCall, state: RunRecord['state']): boolean {
+    const held = call.run.state === 'running';
+    if (!this.log.end(call.run, state)) return false;
+    this.reportedLoad.set(this.log.inFlight / this.current.slots);
+    if (!held) {
+      this.waiting = this.waiting.filter((each) => each !== call);
+      return true;
+    }
+    this.running -= 1;
+    const next = this.waiting.shift();
+    if (next !== undefined) this.run(next);
+    return true;
+  }
+
+  private signals(): Record<string, string> {
+    const load = this.reportedLoad.get(this.current.reportLagMs) * this.current.reportFactor;
+    return {
+      'limpetknot-target-instance': this.temperature.instance,
+      'endpoint-load-metrics': `TEXT application_utilization=${load.toFixed(3)}`,
+      ...(this.current.draining ? { 'limpetknot-target-state': 'draining' } : {}),
+    };
   }
 }
