--- /dev/null
+++ b/measure/harness/gatewayProcess.ts
@@ -0,0 +1,43 @@
+import { join } from 'node:path';
+
+import { type SheetHost } from '../../standins';
+
+import { ManagedProcess } from './managedProcess';
+
+const GATEWAY = join(__dirname, '..', '..', '..', 'bin', 'limpetknot-gateway.js');
+const SECRET = 'a-secret-for-measurements-only';
+
+/** Settings of a gateway process that measurements vary. */
+export interface GatewayOptions {
+  readonly policy: string;
+  readonly platformUrl: string;
+  readonly seed: number;
+  /** File of the decision log; empty turns it off. */
+  readonly decisionLog: string;
+}
+
+/** Starts the gateway of one host. */
+export function startGatewayProcess(
+  host: SheetHost,
+  options: GatewayOptions,
+): Promise<ManagedProcess> {
+  const flags = {
+    'host-id': host.id,
+    zone: host.zone,
+    'caller-port': host.callerPort,
+    'relay-port': host.relayPort,
+    'peer-port': host.peerPort,
+    'operator-port': host.operatorPort,
+    'configuration-url': options.platformUrl,
+    'host-list-url': options.platformUrl,
+    'peer-secret': SECRET,
+    policy: options.policy,
+    'random-seed': options.seed,
+    'decision-log': options.decisionLog,
+    // Runs end with a stop of all gateways, for which no balancer has to be given notice.
+    'notice-period': 0,
+    'stop-limit': 5000,
+  };
+  const list = Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, String(value)]);
+  return ManagedProcess.start(GATEWAY, list, 'gateway started');
+}
--- /dev/null
+++ b/measure/harness/generatorMain.ts
@@ -0,0 +1,9 @@
+import { LoadGenerator } from './loadGenerator';
+import { type LoadPlan } from './plan';
+
+// Entry of the generator process; the plan and the result travel over the channel of fork().
+process.once('message', (plan: LoadPlan) => {
+  void new LoadGenerator(plan).run().then((result) => {
+    process.send!(result, () => process.disconnect());
+  });
+});
--- /dev/null
+++ b/measure/harness/loadGenerator.ts
@@ -0,0 +1,106 @@
+import { Agent, request } from 'undici';
+
+import { type Arrival, scheduleArrivals } from './arrivals';
+import { type CallOutcome, outcomeOfAnswer } from './callOutcome';
+import { LatencyRecorder } from './latencySummary';
+import { type KindResult, type LoadResult } from './loadResult';
+import { type LoadPlan } from './plan';
+
+// Below this distance to the next arrival the generator polls instead of sleeping, since Node's
+// timers are late by up to a millisecond.
+const POLL_WITHIN_MS = 3;
+
+interface Tally {
+  readonly outcomes: Record<CallOutcome, number>;
+  readonly latency: LatencyRecorder;
+}
+
+/** Open-loop load generator: sends on a fixed schedule and never waits for answers. */
+export class LoadGenerator {
+  private readonly agent = new Agent({ pipelining: 1 });
+
+  private readonly tallies = new Map<string, Map<string, Tally>>();
+
+  private readonly outcomeOf: [string, CallOutcome][] = [];
+
+  private latestStart = 0;
+
+  constructor(private readonly plan: LoadPlan) {}
+
+  /** Sends the whole schedule and waits for all answers. */
+  async run(): Promise<LoadResult> {
+    const calls: Promise<void>[] = [];
+    const start = performance.now();
+    for (const arrival of scheduleArrivals(this.plan)) {
+      const scheduled = start + arrival.at;
+      await this.waitUntil(scheduled);
+      this.latestStart = Math.max(this.latestStart, performance.now() - scheduled);
+      calls.push(this.send(arrival, scheduled));
+    }
+    await Promise.all(calls);
+    await this.agent.destroy();
+    return this.result();
+  }
+
+  private async waitUntil(at: number): Promise<void> {
+    for (let left = at - performance.now(); left > 0; left = at - performance.now()) {
+      await new Promise<void>((resolve) => {
+        if (left > POLL_WITHIN_MS) setTimeout(resolve, left - POLL_WITHIN_MS);
+        else setImmediate(resolve);
+      });
+    }
+  }
+
+  private async send(arrival: Arrival, scheduled: number): Promise<void> {
+    const { base, kind, number } = arrival;
+    const unique = `${this.plan.runId}-${number}`;
+    const headers: Record<string, string> = {
+      'limpetknot-timeout-ms': String(this.plan.timeoutMs),
+      ...(kind.keyed ? { 'idempotency-key': unique } : {}),
+    };
+    const path = `${kind.path}/${unique}`;
+    let outcome: CallOutcome = 'broken';
+    try {
+      const answer = await request(`${base}${path}`, {
+        dispatcher: this.agent,
+        method: kind.method,
+        headers,
+        body: kind.method === 'POST' ? '{}' : null,
+      });
+      const body = await answer.body.text();
+      const type = String(answer.headers['content-type'] ?? '');
+      outcome = outcomeOfAnswer(answer.statusCode, type, body);
+    } catch {
+      outcome = 'broken';
+    }
+    this.record(arrival, outcome, performance.now() - scheduled);
+    // Targets see the path without its first segment, the service.
+    const key = kind.keyed ? unique : path.slice(path.indexOf('/', 1));
+    this.outcomeOf.push([key, outcome]);
+  }
+
+  private record({ phase, kind }: Arrival, outcome: CallOutcome, milliseconds: number): void {
+    const kinds = this.tallies.get(phase) ?? new Map<string, Tally>();
+    this.tallies.set(phase, kinds);
+    const tally = kinds.get(kind.name) ?? {
+      outcomes: { answered: 0, failed: 0, 'not-run': 0, unknown: 0, broken: 0 },
+      latency: new LatencyRecorder(),
+    };
+    kinds.set(kind.name, tally);
+    tally.outcomes[outcome] += 1;
+    if (outcome === 'answered') tally.latency.record(milliseconds);
+  }
+
+  private result(): LoadResult {
+    const phases: Record<string, Record<string, KindResult>> = {};
+    for (const [phase, kinds] of this.tallies) {
+      phases[phase] = Object.fromEntries(
+        [...kinds].map(([kind, { outcomes, latency }]) => [
+          kind,
+          { outcomes, latency: latency.summary() },
+        ]),
+      );
+    }
+    return { phases, outcomeOf: this.outcomeOf, latestStart: this.latestStart };
+  }
+}
--- /dev/null
+++ b/measure/harness/managedProcess.ts
@@ -0,0 +1,79 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { createInterface } from 'node:readline';
+
+import { ProcessUsage } from './processUsage';
+
+const START_LIMIT_MS = 15_000;
+const KILL_AFTER_MS = 10_000;
+
+/** A Node process started by a measurement, stopped by its id. */
+export class ManagedProcess {
+  private constructor(
+    private readonly child: ChildProcess,
+    /** The output line that showed that the process was ready. */
+    readonly readyLine: string,
+  ) {}
+
+  /** Starts a script and waits for an output line that contains `ready`. */
+  static async start(
+    script: string,
+    flags: readonly string[],
+    ready: string,
+  ): Promise<ManagedProcess> {
+    const child = spawn(process.execPath, [script, ...flags], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    const lines = createInterface({ input: child.stdout });
+    let lastLine = '';
+    const line = await new Promise<string>((resolve, reject) => {
+      const timer = setTimeout(
+        () => reject(new Error(`${script} was not ready in time`)),
+        START_LIMIT_MS,
+      );
+      child.once('exit', (code) => {
+        clearTimeout(timer);
+        reject(new Error(`${script} exited with ${code}: ${lastLine}`));
+      });
+      lines.on('line', (text) => {
+        lastLine = text;
+        if (!text.includes(ready)) return;
+        clearTimeout(timer);
+        resolve(text);
+      });
+    }).catch((error: unknown) => {
+      child.kill('SIGKILL');
+      throw error;
+    });
+    return new ManagedProcess(child, line);
+  }
+
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
+  get isRunning(): boolean {
+    return this.child.exitCode === null && this.child.signalCode === null;
+  }
+
+  usage(): Promise<ProcessUsage> {
+    return ProcessUsage.of(this.pid);
+  }
+
+  signal(name: NodeJS.Signals): void {
+    this.child.kill(name);
+  }
+
+  /** Asks the process to end, and kills it when it does not; returns its exit code. */
+  async stop(): Promise<number | null> {
+    if (this.isRunning) {
+      const exit = once(this.child, 'exit');
+      this.child.kill('SIGCONT');
+      this.child.kill('SIGTERM');
+      const timer = setTimeout(() => this.child.kill('SIGKILL'), KILL_AFTER_MS);
+      await exit;
+      clearTimeout(timer);
+    }
+    return this.child.exitCode;
+  }
+}
--- /dev/null
+++ b/measure/harness/testFleet.ts
@@ -0,0 +1,161 @@
+import { request } from 'undici';
+
+import {
+  freePort,
+  PlatformStandin,
+  type SheetHost,
+  type SheetService,
+  sheetText,
+  type TargetSettings,
+  type TargetTruth,
+} from '../../standins';
+
+import { startGatewayProcess } from './gatewayProcess';
+import { type ManagedProcess } from './managedProcess';
+import { TargetProcess } from './targetProcess';
+
+const READY_LIMIT_MS = 30_000;
+const READY_POLL_MS = 50;
+
+/** A service of a test fleet; its targets are spread over the zones in turn. */
+export interface FleetService {
+  readonly name: string;
+  readonly targets: number;
+  readonly slots: number;
+}
+
+/** What a test fleet consists of. */
+export interface FleetOptions {
+  /** Zone of each host, one gateway process for each. */
+  readonly hostZones: readonly string[];
+  readonly targetZones: readonly string[];
+  readonly services: readonly FleetService[];
+  readonly targetSettings: Partial<TargetSettings>;
+  readonly policy: string;
+  readonly seed: number;
+  readonly decisionLog?: string;
+  readonly rain?: boolean;
+  readonly operations?: readonly string[];
+  readonly coldMs?: number;
+}
+
+async function makeHost(zone: string, index: number): Promise<SheetHost> {
+  return {
+    id: `host-${index + 1}`,
+    zone,
+    callerPort: await freePort(),
+    relayPort: await freePort(),
+    peerPort: await freePort(),
+    operatorPort: await freePort(),
+  };
+}
+
+function targetIds(service: FleetService): readonly string[] {
+  return Array.from({ length: service.targets }, (_, index) => `${service.name}-${index + 1}`);
+}
+
+function sheetService(
+  service: FleetService,
+  options: FleetOptions,
+  targets: TargetProcess,
+): SheetService {
+  const { targetZones: zones, coldMs } = options;
+  return {
+    name: service.name,
+    targets: targetIds(service).map((id, index) => ({
+      id,
+      zone: zones[index % zones.length]!,
+      port: targets.portOf(id),
+      slots: service.slots,
+      coldMs,
+    })),
+  };
+}
+
+/** Gateways and target stand-ins in processes of their own, with the platform in this one. */
+export class TestFleet {
+  private constructor(
+    readonly hosts: readonly SheetHost[],
+    readonly gateways: readonly ManagedProcess[],
+    readonly targets: TargetProcess,
+    readonly platform: PlatformStandin,
+  ) {}
+
+  static async start(options: FleetOptions): Promise<TestFleet> {
+    const { policy, seed, services } = options;
+    const targets = await TargetProcess.start(
+      services.flatMap(targetIds),
+      options.targetSettings,
+      seed,
+    );
+    const hosts = await Promise.all(options.hostZones.map(makeHost));
+    const platform = new PlatformStandin();
+    const platformUrl = await platform.start();
+    platform.publish(
+      sheetText({
+        version: 1,
+        rain: options.rain,
+        zones: [...new Set([...options.hostZones, ...options.targetZones])],
+        hosts,
+        services: services.map((service) => sheetService(service, options, targets)),
+        operations: options.operations,
+      }),
+    );
+    const decisionLog = options.decisionLog ?? '';
+    const starts = await Promise.allSettled(
+      hosts.map((host, index) =>
+        startGatewayProcess(host, { policy, platformUrl, seed: seed + index + 1, decisionLog }),
+      ),
+    );
+    const gateways = starts.flatMap((start) => (start.status === 'fulfilled' ? [start.value] : []));
+    const fleet = new TestFleet(hosts, gateways, targets, platform);
+    try {
+      const failure = starts.find((start) => start.status === 'rejected');
+      if (failure !== undefined) throw failure.reason;
+      await fleet.waitUntilReady(services);
+    } catch (error) {
+      await fleet.stop();
+      throw error;
+    }
+    return fleet;
+  }
+
+  /** Base URLs for callers. */
+  get bases(): readonly string[] {
+    return this.hosts.map(({ callerPort }) => `http://127.0.0.1:${callerPort}`);
+  }
+
+  truth(): Promise<readonly TargetTruth[]> {
+    return this.targets.truth();
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.gateways.map((gateway) => gateway.stop()));
+    await this.targets.process.stop();
+    await this.platform.stop();
+  }
+
+  private async waitUntilReady(services: readonly FleetService[]): Promise<void> {
+    const limit = performance.now() + READY_LIMIT_MS;
+    for (const base of this.bases) {
+      for (const { name } of services) {
+        while (!(await TestFleet.answers(`${base}/${name}/ready-check`))) {
+          if (performance.now() > limit) throw new Error(`${base} did not serve ${name} in time`);
+          await new Promise((resolve) => {
+            setTimeout(resolve, READY_POLL_MS);
+          });
+        }
+      }
+    }
+  }
+
+  private static async answers(url: string): Promise<boolean> {
+    try {
+      const answer = await request(url);
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    } catch {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/measure/measurements/index.ts
@@ -0,0 +1,16 @@
+import { type Measurement } from '../measurement';
+
+import { addedLatency } from './addedLatency';
+import { coldStart } from './coldStart';
+import { failFast } from './failFast';
+import { loadShift } from './loadShift';
+import { stragglers } from './stragglers';
+
+/** All measurements by name. */
+export const MEASUREMENTS: Readonly<Record<string, Measurement>> = {
+  'added-latency': addedLatency,
+  stragglers,
+  'fail-fast': failFast,
+  'cold-start': coldStart,
+  'load-shift': loadShift,
+};
--- a/standins/sheetText.ts
+++ b/standins/sheetText.ts
@@ -5,6 +5,8 @@
   readonly zones: readonly string[];
   readonly hosts: readonly SheetHost[];
   readonly services: readonly SheetService[];
+  /** Rows of the operations section. */
+  readonly operations?: readonly string[];
 }
 
 /** A host of a generated sheet. */
@@ -64,10 +66,12 @@
     ),
     '[operations]',
     'service,method,path_prefix,class,idempotent',
+    ...(parts.operations ?? []),
     '[priorities]',
     'class,rank,rain_rank,reserved_percent',
     'flood,1,0,30',
     'standard,1,1,0',
+    'low,2,2,0',
   ];
   return `${lines.join('\n')}\n`;
 }
--- a/standins/target/main.ts
+++ b/standins/target/main.ts
@@ -1,3 +1,4 @@
+import { type Server } from 'node:http';
 import { parseArgs } from 'node:util';
 
 import { serve } from '@hono/node-server';
@@ -40,6 +41,7 @@
   );
   process.once('SIGTERM', () => {
     server.close();
+    (server as Server).closeAllConnections();
     for (const target of targets.values()) void target.stop();
   });
 }
