--- /dev/null
+++ b/demo/demoSystem.ts
@@ -0,0 +1,92 @@
+import { type Sheet, parseSheet } from '../src';
+import { freePort, PlatformStandin, type SheetHost, TargetStandin } from '../standins';
+
+import { remapSheet } from './remapSheet';
+import { type DemoGateway, startDemoGateway } from './startDemoGateway';
+
+const SERVICE_TIME_MS = 15;
+const SPREAD = 0.3;
+const COLD_MS = 500;
+
+function readSheet(text: string): Sheet {
+  const sheet = parseSheet(text);
+  if (sheet.err) throw new Error(`the sheet is not valid: ${JSON.stringify(sheet.val)}`);
+  return sheet.val;
+}
+
+async function startTargets(sheet: Sheet, seed: number): Promise<Map<string, TargetStandin>> {
+  const targets = new Map<string, TargetStandin>();
+  for (const row of sheet.targets.values()) {
+    const target = new TargetStandin(row.target, seed + targets.size);
+    target.configure({
+      slots: row.slots,
+      serviceTimeMs: SERVICE_TIME_MS,
+      spread: SPREAD,
+      coldLimit: row.cold_limit,
+      coldMs: COLD_MS,
+    });
+    targets.set(row.target, target);
+  }
+  return targets;
+}
+
+/** The first host of each zone, on free ports. */
+async function pickHosts(sheet: Sheet): Promise<readonly SheetHost[]> {
+  const byZone = new Map<string, SheetHost>();
+  for (const { host, zone } of sheet.hosts.values()) {
+    if (byZone.has(zone)) continue;
+    byZone.set(zone, {
+      id: host,
+      zone,
+      callerPort: await freePort(),
+      relayPort: await freePort(),
+      peerPort: await freePort(),
+      operatorPort: await freePort(),
+    });
+  }
+  return [...byZone.values()];
+}
+
+/** Platform, targets and gateways of one deployment, all in this process. */
+export class DemoSystem {
+  private constructor(
+    readonly sheet: Sheet,
+    readonly platform: PlatformStandin,
+    readonly targets: ReadonlyMap<string, TargetStandin>,
+    readonly gateways: readonly DemoGateway[],
+  ) {}
+
+  /** Starts the deployment of a sheet, on loopback and with one host in each zone. */
+  static async start(text: string, seed: number): Promise<DemoSystem> {
+    const published = readSheet(text);
+    const targets = await startTargets(published, seed);
+    const ports = new Map<string, number>();
+    for (const [id, target] of targets) ports.set(id, await target.start());
+    const hosts = await pickHosts(published);
+    const sheet = readSheet(remapSheet(published.text, hosts, ports));
+    const platform = new PlatformStandin();
+    platform.publish(sheet.text);
+    const url = await platform.start();
+    const gateways = await Promise.all(
+      hosts.map((host, index) => startDemoGateway(host, sheet, url, seed + index)),
+    );
+    return new DemoSystem(sheet, platform, targets, gateways);
+  }
+
+  /** Base URLs for callers. */
+  get bases(): readonly string[] {
+    return this.gateways.map(({ host }) => `http://127.0.0.1:${host.callerPort}`);
+  }
+
+  targetsIn(zone: string): readonly TargetStandin[] {
+    return [...this.sheet.targets.values()]
+      .filter((row) => row.zone === zone)
+      .map((row) => this.targets.get(row.target)!);
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.gateways.map(({ gateway }) => gateway.close()));
+    await Promise.all([...this.targets.values()].map((target) => target.stop()));
+    await this.platform.stop();
+  }
+}
--- a/measure/harness/faultRun.ts
+++ b/measure/harness/faultRun.ts
@@ -86,7 +86,7 @@
       }),
       starting,
     ]);
-    const judgement = judge(result.outcomeOf, await fleet.truth(), (key) =>
+    const judgement = judge(result.reports, await fleet.truth(), (key) =>
       key.startsWith('/lookups'),
     );
     return Object.entries(result.phases)
--- a/measure/harness/judge.test.ts
+++ b/measure/harness/judge.test.ts
@@ -11,12 +11,12 @@
   test('finds doubled, lost and falsely refused calls across targets', () => {
     const judgement = judge(
       [
-        ['once', 'answered'],
-        ['twice', 'unknown'],
-        ['hedged', 'answered'],
-        ['never', 'answered'],
-        ['refused', 'not-run'],
-        ['truly-refused', 'not-run'],
+        ['once', 'answered', 'update'],
+        ['twice', 'unknown', 'update'],
+        ['hedged', 'answered', 'update'],
+        ['never', 'answered', 'update'],
+        ['refused', 'not-run', 'update'],
+        ['truly-refused', 'not-run', 'update'],
       ],
       [
         truth('t-1', [
--- a/measure/harness/judge.ts
+++ b/measure/harness/judge.ts
@@ -1,6 +1,7 @@
 import { type TargetTruth } from '../../standins';
 
 import { type CallOutcome } from './callOutcome';
+import { type CallReport } from './loadResult';
 
 /** Broken promises, found by comparing what callers were told with what the targets did. */
 export interface Judgement {
@@ -18,7 +19,7 @@
 
 /** Judges a run; `isIdempotent` tells by key whether more than one effect is allowed. */
 export function judge(
-  outcomes: readonly (readonly [key: string, outcome: CallOutcome])[],
+  reports: readonly CallReport[],
   truths: readonly TargetTruth[],
   isIdempotent: (key: string) => boolean,
 ): Judgement {
@@ -29,7 +30,7 @@
     if (state === 'done') effects.set(key, (effects.get(key) ?? 0) + 1);
   }
   const count = (matches: (key: string, outcome: CallOutcome) => boolean) =>
-    outcomes.filter(([key, outcome]) => matches(key, outcome)).length;
+    reports.filter(([key, outcome]) => matches(key, outcome)).length;
   return {
     doubled: count((key) => (effects.get(key) ?? 0) > 1 && !isIdempotent(key)),
     lost: count((key, outcome) => outcome === 'answered' && !effects.has(key)),
--- a/measure/harness/loadGenerator.ts
+++ b/measure/harness/loadGenerator.ts
@@ -3,7 +3,7 @@
 import { type Arrival, scheduleArrivals } from './arrivals';
 import { type CallOutcome, outcomeOfAnswer } from './callOutcome';
 import { LatencyRecorder } from './latencySummary';
-import { type KindResult, type LoadResult } from './loadResult';
+import { type CallReport, type KindResult, type LoadResult } from './loadResult';
 import { type LoadPlan } from './plan';
 
 // Below this distance to the next arrival the generator polls instead of sleeping, since Node's
@@ -21,7 +21,7 @@
 
   private readonly tallies = new Map<string, Map<string, Tally>>();
 
-  private readonly outcomeOf: [string, CallOutcome][] = [];
+  private readonly reports: CallReport[] = [];
 
   private latestStart = 0;
 
@@ -76,7 +76,7 @@
     this.record(arrival, outcome, performance.now() - scheduled);
     // Targets see the path without its first segment, the service.
     const key = kind.keyed ? unique : path.slice(path.indexOf('/', 1));
-    this.outcomeOf.push([key, outcome]);
+    this.reports.push([key, outcome, kind.name]);
   }
 
   private record({ phase, kind }: Arrival, outcome: CallOutcome, milliseconds: number): void {
@@ -101,6 +101,6 @@
         ]),
       );
     }
-    return { phases, outcomeOf: this.outcomeOf, latestStart: this.latestStart };
+    return { phases, reports: this.reports, latestStart: this.latestStart };
   }
 }
--- a/measure/harness/loadResult.ts
+++ b/measure/harness/loadResult.ts
@@ -8,12 +8,14 @@
   readonly latency: LatencySummary;
 }
 
+/** What the caller of one call learned: its key as the targets record it, its outcome and kind. */
+export type CallReport = readonly [key: string, outcome: CallOutcome, kind: string];
+
 /** What a load generator saw. */
 export interface LoadResult {
   /** By phase, then by kind. */
   readonly phases: Readonly<Record<string, Readonly<Record<string, KindResult>>>>;
-  /** Outcome by key, as the targets record it. */
-  readonly outcomeOf: readonly (readonly [key: string, outcome: CallOutcome])[];
+  readonly reports: readonly CallReport[];
   /** Longest time between the scheduled and the real start of a call, in milliseconds. */
   readonly latestStart: number;
 }
--- a/measure/measurements/addedLatency.ts
+++ b/measure/measurements/addedLatency.ts
@@ -49,7 +49,7 @@
     p50: latency.p50,
     p99: latency.p99,
     processorMicroseconds:
-      ((after.processorMs - before.processorMs) * 1000) / result.outcomeOf.length,
+      ((after.processorMs - before.processorMs) * 1000) / result.reports.length,
     residentMebibytes: after.residentBytes / MEBIBYTE,
     notAnswered: Object.values(outcomes).reduce((sum, count) => sum + count) - outcomes.answered,
     latestStart: result.latestStart,
