Measure priority under overload and retries in a chain

Cause: two bounds of the design had no measurement. Change: overload-priority (flood watch class alone and under 2 times the capacity) and retry-chain (seven levels, the last one failing).

--- a/measure/measurements/index.ts
+++ b/measure/measurements/index.ts
@@ -4,6 +4,8 @@
 import { coldStart } from './coldStart';
 import { failFast } from './failFast';
 import { loadShift } from './loadShift';
+import { overloadPriority } from './overloadPriority';
+import { retryChain } from './retryChain';
 import { stragglers } from './stragglers';
 
 /** All measurements by name. */
@@ -12,5 +14,7 @@
   stragglers,
   'fail-fast': failFast,
   'cold-start': coldStart,
+  'overload-priority': overloadPriority,
   'load-shift': loadShift,
+  'retry-chain': retryChain,
 };
