--- a/src/fleet/fleetState.ts
+++ b/src/fleet/fleetState.ts
@@ -10,7 +10,7 @@
   readonly assignment: Assignment;
 }
 
-/** Derives the owners of a record, at a cost that follows what changed since `previous`. */
+/** Derives the owners of a record; those of `previous` are kept where nothing changed. */
 export function makeFleetState(
   record: FleetRecord,
   sheet: Sheet,
@@ -19,6 +19,9 @@
   if (sheet.fingerprint !== record.sheetFingerprint) {
     throw new Error(`epoch ${record.epoch} names another sheet than ${sheet.fingerprint}`);
   }
-  const assignment = assignOwners(sheet, record.members, previous?.assignment ?? null);
-  return Object.freeze({ record, sheet, assignment });
+  return Object.freeze({
+    record,
+    sheet,
+    assignment: assignOwners(sheet, record.members, previous?.assignment),
+  });
 }
--- a/src/fleet/replica.ts
+++ b/src/fleet/replica.ts
@@ -217,7 +217,7 @@
       record,
       sheet,
       operations: sameSheet ? this.view!.operations : new OperationIndex(sheet),
-      owners: groupOwners(sheet, assignment, record.zonesOut),
+      owners: groupOwners(sheet, assignment.owners, record.zonesOut),
       owned: this.handover.owned(),
     });
     for (const listener of this.listeners) listener(this.view);
