--- a/src/fleet/releaseSender.ts
+++ b/src/fleet/releaseSender.ts
@@ -37,6 +37,8 @@
 export class ReleaseSender {
   private readonly running = new Set<Promise<void>>();
 
+  private readonly stopped = new AbortController();
+
   constructor(private readonly context: ReleaseContext) {}
 
   /** Releases targets; called after the view that ends the ownership was applied. */
@@ -53,6 +55,11 @@
     while (this.running.size > 0) await Promise.all(this.running);
   }
 
+  /** Gives up releases that have not arrived. */
+  close(): void {
+    this.stopped.abort();
+  }
+
   private async release(
     target: DepartingTarget,
     own: ReleasedState | null,
@@ -61,19 +68,21 @@
     const { clock } = this.context;
     const used = clock.now() >= target.knownFrom;
     const state = used ? (own ?? passedOn(target.inherited)) : await this.earlierCalls(target);
-    while (clock.now() < until) {
+    const { signal } = this.stopped;
+    while (clock.now() < until && !signal.aborted) {
       if (await this.sendOnce(target, state)) return;
-      await waitUntil(clock, clock.now() + RETRY_INTERVAL_MS);
+      await waitUntil(clock, clock.now() + RETRY_INTERVAL_MS, signal);
     }
   }
 
   /** The earlier owner's calls to a target that this host never used; waits until known. */
   private async earlierCalls(target: DepartingTarget): Promise<ReleasedState> {
     const { clock, inbox } = this.context;
-    while (clock.now() < target.knownFrom) {
+    const { signal } = this.stopped;
+    while (clock.now() < target.knownFrom && !signal.aborted) {
       const late = inbox.find(target.target.target, target.releaseEpoch);
       if (late !== null) return passedOn(late);
-      await waitUntil(clock, clock.now() + SETTLE_POLL_MS);
+      await waitUntil(clock, clock.now() + SETTLE_POLL_MS, signal);
     }
     return NOTHING_SENT;
   }
--- a/src/fleet/replicatedFleet.ts
+++ b/src/fleet/replicatedFleet.ts
@@ -103,6 +103,7 @@
   /** Ends all tasks; the transport is closed by its owner. */
   close(): void {
     this.stopped.abort();
+    this.replica.releases.close();
   }
 
   private async run(): Promise<void> {
