--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,43 @@
+import { parseArgs } from 'node:util';
+
+import * as fc from 'fast-check';
+
+import { POLICIES, type PolicyName } from '../src/routing';
+
+import { runDifferential } from './differentialRun';
+import { POOL_PROPERTY, readSeed } from './poolProperty';
+import { type TargetFault } from './queueingTarget';
+
+const MS_PER_MINUTE = 60_000;
+const DIFFERENTIAL_MS = 10_000;
+const FAULTS: readonly TargetFault[] = ['none', 'straggler', 'fail-fast'];
+
+async function printDifferential(seed: number): Promise<void> {
+  for (const fault of FAULTS) {
+    for (const policy of Object.keys(POLICIES) as PolicyName[]) {
+      const report = await runDifferential({ policy, fault, seed, durationMs: DIFFERENTIAL_MS });
+      console.log(JSON.stringify({ seed, fault, policy, ...report }));
+    }
+  }
+}
+
+async function main(): Promise<void> {
+  const { values } = parseArgs({
+    options: { minutes: { type: 'string', default: '1' }, seed: { type: 'string' } },
+  });
+  const seed = values.seed === undefined ? readSeed() : Number(values.seed);
+  console.log(`pool random run: SEED=${seed}, ${values.minutes} min`);
+  const result = await fc.check(POOL_PROPERTY, {
+    seed,
+    numRuns: Number.MAX_SAFE_INTEGER,
+    interruptAfterTimeLimit: Number(values.minutes) * MS_PER_MINUTE,
+  });
+  console.log(`runs: ${result.numRuns}, ${result.failed ? 'failed' : 'no rule broken'}`);
+  if (result.failed) {
+    console.log(fc.defaultReportMessage(result));
+    process.exitCode = 1;
+  }
+  await printDifferential(seed);
+}
+
+void main();
