--- a/src/fleet/changes.ts
+++ b/src/fleet/changes.ts
@@ -4,7 +4,6 @@
 import { type FleetRecord } from './fleetRecord';
 import { makeRecord } from './makeRecord';
 import { type ProposalResult, Proposer } from './proposer';
-import { votersOf } from './quorum';
 import { type Replica } from './replica';
 
 /** Proposes changes of the record, one at a time. */
@@ -20,12 +19,12 @@
       clock: parts.clock,
       acceptor: replica.acceptor,
       peers: replica.peers,
-      voters: () => votersOf(replica.sheet()),
+      voters: () => replica.voters(),
       votersOfRecord: (record) => replica.votersOfRecord(record),
       acceptHere: (record, incarnation) => replica.accept(record, incarnation),
       prepareHere: (epoch, ballot, silent) => replica.prepare(epoch, ballot, silent),
       adopt: (record) => replica.adopt(record),
-      listeners: () => [...replica.sheet().hosts.keys()],
+      listeners: () => replica.hosts(),
     });
   }
 
--- a/src/fleet/releaseSender.ts
+++ b/src/fleet/releaseSender.ts
@@ -26,24 +26,11 @@
   instance: '',
 };
 
-/** Adds calls of the owner before this one to the calls that this host has in flight itself. */
-function merge(
-  own: ReleasedState | null,
-  inherited: InheritedState | null,
-  now: number,
-): ReleasedState {
-  const state = own ?? {
-    ...NOTHING_SENT,
-    limit: inherited?.limit ?? 0,
-    coldUntil: inherited?.coldUntil ?? 0,
-    instance: inherited?.instance ?? '',
-  };
-  if (inherited === null || inherited.reservedUntil <= now) return state;
-  return {
-    ...state,
-    callsInFlight: state.callsInFlight + inherited.callsInFlight,
-    lastDeadline: Math.max(state.lastDeadline, inherited.reservedUntil),
-  };
+/** What the owner before this host released, as this host passes it on. */
+function passedOn(inherited: InheritedState | null): ReleasedState {
+  if (inherited === null) return NOTHING_SENT;
+  const { callsInFlight, coldUntil, instance, limit, reservedUntil } = inherited;
+  return { callsInFlight, lastDeadline: reservedUntil, limit, coldUntil, instance };
 }
 
 /** Sends releases of targets that moved to other hosts, until they arrive or serve no purpose. */
@@ -71,29 +58,29 @@
     own: ReleasedState | null,
     until: number,
   ): Promise<void> {
-    const inherited = await this.earlierCalls(target);
     const { clock } = this.context;
+    const used = clock.now() >= target.knownFrom;
+    const state = used ? (own ?? passedOn(target.inherited)) : await this.earlierCalls(target);
     while (clock.now() < until) {
-      if (await this.sendOnce(target, merge(own, inherited, clock.now()))) return;
+      if (await this.sendOnce(target, state)) return;
       await waitUntil(clock, clock.now() + RETRY_INTERVAL_MS);
     }
   }
 
-  /** What is known of the earlier owner's calls; waits while they are unaccounted for. */
-  private async earlierCalls(target: DepartingTarget): Promise<InheritedState | null> {
+  /** The earlier owner's calls to a target that this host never used; waits until known. */
+  private async earlierCalls(target: DepartingTarget): Promise<ReleasedState> {
     const { clock, inbox } = this.context;
-    if (clock.now() >= target.knownFrom) return target.inherited;
     while (clock.now() < target.knownFrom) {
       const late = inbox.find(target.target.target, target.releaseEpoch);
-      if (late !== null) return late;
+      if (late !== null) return passedOn(late);
       await waitUntil(clock, clock.now() + SETTLE_POLL_MS);
     }
-    return null;
+    return NOTHING_SENT;
   }
 
   private sendOnce(target: DepartingTarget, state: ReleasedState): Promise<boolean> {
     const { clock, hostId, peers } = this.context;
-    const timeLeft = (until: number) => Math.max(0, Math.ceil(until - clock.now()));
+    const timeLeft = (at: number) => Math.max(0, Math.ceil(at - clock.now()));
     return peers.release(target.newOwner, {
       hostId,
       epoch: target.epoch,
--- a/src/fleet/replicaParts.ts
+++ b/src/fleet/replicaParts.ts
@@ -9,6 +9,8 @@
 /** What a host's part in the fleet is made of. */
 export interface ReplicaParts {
   readonly hostId: string;
+  /** Availability zone of the host; its region is the one that the host takes part in. */
+  readonly zone: string;
   /** Differs after each start of the host; the same as the transport's. */
   readonly incarnation: string;
   /** The sheet known at start; a record that the fleet holds takes precedence over it. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,7 @@
 
 import { GATEWAY_EVENTS } from './events';
 import { listen, type ListenError } from './listen';
+import { type RouterHandover } from './routerHandover';
 
 /** What a gateway is made of besides its settings. */
 export interface GatewayParts {
@@ -34,6 +35,8 @@
   readonly metrics?: MetricsSink;
   /** Limits on callers' requests; the usual ones when absent. */
   readonly requestLimits?: RequestLimits;
+  /** Learns the state of released targets from routing; absent for a fleet without handover. */
+  readonly handover?: RouterHandover;
 }
 
 /** A running gateway. */
@@ -52,6 +55,8 @@
   const recorder = new OutcomeRecorder((violation) =>
     parts.events.emit(FORWARDING_EVENTS.outcomeViolated, { violation }),
   );
+  parts.fleet.onChange((view) => router.applyView(view));
+  parts.handover?.follow(router);
   return {
     loadGuard,
     recorder,
