Sheets: name all mistakes in one go, delta, examples, reference page

Cause: an empty number cell was read as 0, a structural mistake or one wrong cell hid the others, and a missing column was reported once for each row. Change: numbers are checked as text first; columns are checked at their line; checks over several rows work on raw cells; delta of canonical rows; two examples; docs/sheet.md, docs/events.md and docs/metrics.md are written by npm run docs and compared by a test.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -90,6 +90,7 @@
       'demo/**/*.ts',
       'measure/**/*.ts',
       'soak/**/*.ts',
+      'scripts/**/*.ts',
       '*.js',
       '*.mjs',
       'bin/*.js',
--- a/src/sheet/checkReferences.ts
+++ b/src/sheet/checkReferences.ts
@@ -1,4 +1,4 @@
-import { type CheckedRow, rowsOf } from './checkedRow';
+import { type RawRow } from './rawRow';
 import { type SectionName } from './schema';
 import { type SheetError } from './sheetError';
 
@@ -24,19 +24,27 @@
   priorities: {},
 };
 
-type Cells = Readonly<Record<string, unknown>>;
+const NEEDED_SECTIONS: readonly SectionName[] = [
+  'zones',
+  'hosts',
+  'services',
+  'targets',
+  'priorities',
+];
 
-function keyOf(row: CheckedRow, columns: readonly string[]): string {
-  const cells: Cells = row.value;
-  return columns.map((column) => String(cells[column])).join(' ');
+/** The row's text in the given columns; null when one of them is empty or missing. */
+function keyOf(row: RawRow, columns: readonly string[]): string | null {
+  const cells = columns.map((column) => row.cells[column] ?? '');
+  return cells.includes('') ? null : cells.join(' ');
 }
 
-function findDuplicates(rows: readonly CheckedRow[]): SheetError[] {
+function findDuplicates(rows: readonly RawRow[]): SheetError[] {
   const errors: SheetError[] = [];
   const seen = new Map<string, number>();
   for (const row of rows) {
     for (const columns of UNIQUE_KEYS[row.section]) {
       const key = keyOf(row, columns);
+      if (key === null) continue;
       const place = `${row.section}|${columns.join()}|${key}`;
       const earlier = seen.get(place);
       if (earlier === undefined) seen.set(place, row.row);
@@ -49,19 +57,26 @@
   return errors;
 }
 
-function findUnknownReferences(rows: readonly CheckedRow[]): SheetError[] {
-  const known = new Map<SectionName, Set<string>>();
+function namesBySection(rows: readonly RawRow[]): ReadonlyMap<SectionName, ReadonlySet<string>> {
+  const names = new Map<SectionName, Set<string>>();
   for (const row of rows) {
-    const firstKey = UNIQUE_KEYS[row.section][0];
-    if (firstKey === undefined) continue;
-    const names = known.get(row.section) ?? new Set<string>();
-    known.set(row.section, names.add(keyOf(row, firstKey)));
+    const columns = UNIQUE_KEYS[row.section][0];
+    const name = columns === undefined ? null : keyOf(row, columns);
+    const group = names.get(row.section) ?? new Set<string>();
+    names.set(row.section, name === null ? group : group.add(name));
   }
+  return names;
+}
+
+function findUnknownReferences(rows: readonly RawRow[]): SheetError[] {
+  const names = namesBySection(rows);
   const errors: SheetError[] = [];
   for (const row of rows) {
     for (const [field, section] of Object.entries(REFERENCES[row.section])) {
       const name = keyOf(row, [field]);
-      if (known.get(section)?.has(name)) continue;
+      const known = names.get(section);
+      // An empty or missing section is reported once, not for each row that refers to it.
+      if (name === null || known === undefined || known.has(name)) continue;
       const message = `'${name}' is not in section [${section}]`;
       errors.push({ row: row.row, section: row.section, field, message });
     }
@@ -69,54 +84,22 @@
   return errors;
 }
 
-function findLimitMistakes(rows: readonly CheckedRow[]): SheetError[] {
-  const errors: SheetError[] = [];
-  for (const { row, value } of rowsOf(rows, 'targets')) {
-    if (value.cold_limit > value.slots) {
-      const message = `${value.cold_limit} is above the ${value.slots} slots`;
-      errors.push({ row, section: 'targets', field: 'cold_limit', message });
-    }
-    if (value.connections < value.slots) {
-      const message = `${value.connections} connections are fewer than the ${value.slots} slots`;
-      errors.push({ row, section: 'targets', field: 'connections', message });
-    }
-  }
-  const reserved = rowsOf(rows, 'priorities').reduce(
-    (sum, { value }) => sum + value.reserved_percent,
-    0,
-  );
-  if (reserved > 90) {
-    const message = `the classes reserve ${reserved} percent together; 90 is the most`;
-    errors.push({ row: 0, section: 'priorities', field: 'reserved_percent', message });
-  }
-  return errors;
-}
-
-function findEmptySections(rows: readonly CheckedRow[]): SheetError[] {
-  const errors: SheetError[] = [];
-  const needed: readonly SectionName[] = ['zones', 'hosts', 'services', 'targets', 'priorities'];
-  for (const section of needed) {
-    if (rows.some((row) => row.section === section)) continue;
-    errors.push({ row: 0, section, field: '', message: 'section has no rows' });
-  }
-  const headers = rowsOf(rows, 'sheet').length;
-  if (headers !== 1) {
-    errors.push({
-      row: 0,
-      section: 'sheet',
-      field: '',
-      message: `has ${headers} rows; one is needed`,
-    });
-  }
-  return errors;
+function findEmptySections(rows: readonly RawRow[]): SheetError[] {
+  const whole = (section: SectionName, message: string): SheetError => ({
+    row: 0,
+    section,
+    field: '',
+    message,
+  });
+  const errors = NEEDED_SECTIONS.filter(
+    (section) => !rows.some((row) => row.section === section),
+  ).map((section) => whole(section, 'section has no rows'));
+  const headers = rows.filter((row) => row.section === 'sheet').length;
+  if (headers === 1) return errors;
+  return [...errors, whole('sheet', `has ${headers} rows; one is needed`)];
 }
 
-/**
- * Checks what concerns several rows: duplicates, references, limits and empty sections.
- * With `rowsMissing`, some rows were dropped as invalid, and what follows from that is not reported.
- */
-export function checkReferences(rows: readonly CheckedRow[], rowsMissing: boolean): SheetError[] {
-  const errors = [...findDuplicates(rows), ...findLimitMistakes(rows)];
-  if (rowsMissing) return errors;
-  return [...errors, ...findUnknownReferences(rows), ...findEmptySections(rows)];
+/** Checks what concerns several rows: duplicates, references and empty sections. */
+export function checkReferences(rows: readonly RawRow[]): SheetError[] {
+  return [...findDuplicates(rows), ...findUnknownReferences(rows), ...findEmptySections(rows)];
 }
--- a/src/sheet/index.ts
+++ b/src/sheet/index.ts
@@ -13,4 +13,7 @@
 } from './schema';
 export { parseSheet, LARGEST_SHEET_BYTES } from './parseSheet';
 export { type SheetError, formatSheetError } from './sheetError';
+export { type SheetDelta, type SectionDelta } from './sheetDelta';
+export { diffSheets } from './diffSheets';
+export { applyDelta } from './applyDelta';
 export { OperationIndex, type OperationTraits } from './operationIndex';
--- a/src/sheet/readRows.ts
+++ b/src/sheet/readRows.ts
@@ -1,6 +1,7 @@
 import { parse } from 'csv-parse/sync';
 import { Err, Ok, type Result } from 'ts-results';
 
+import { checkColumns } from './checkColumns';
 import { type RawRow } from './rawRow';
 import { SECTION_NAMES, type SectionName } from './schema';
 import { type SheetError } from './sheetError';
@@ -10,6 +11,12 @@
   readonly info: { readonly lines: number };
 }
 
+/** Rows as far as they could be read, and all mistakes of structure. */
+export interface RawSheet {
+  readonly rows: readonly RawRow[];
+  readonly errors: readonly SheetError[];
+}
+
 interface Reading {
   readonly rows: RawRow[];
   readonly errors: SheetError[];
@@ -22,6 +29,8 @@
   try {
     const lines = parse(text, {
       bom: true,
+      comment: '#',
+      comment_no_infix: true,
       info: true,
       relax_column_count: true,
       skip_empty_lines: true,
@@ -54,7 +63,10 @@
 function readRow(reading: Reading, cells: readonly string[], row: number): void {
   if (reading.section === null) return;
   if (reading.columns === null) {
-    reading.columns = cells.filter((cell) => cell !== '');
+    // Spreadsheets pad short rows with empty cells up to the widest section.
+    const last = cells.findLastIndex((cell) => cell !== '');
+    reading.columns = cells.slice(0, last + 1);
+    reading.errors.push(...checkColumns(reading.section, reading.columns, row));
     return;
   }
   const { columns, section } = reading;
@@ -67,28 +79,34 @@
   reading.rows.push({ section, row, cells: Object.fromEntries(entries) });
 }
 
+function findMissingSections(seen: ReadonlySet<SectionName>): SheetError[] {
+  return SECTION_NAMES.filter((section) => !seen.has(section)).map((section) => ({
+    row: 0,
+    section,
+    field: '',
+    message: 'section is missing',
+  }));
+}
+
 /** Splits the CSV text into the rows of its sections; reports each mistake of structure. */
-export function readRows(text: string): Result<readonly RawRow[], readonly SheetError[]> {
+export function readRows(text: string): RawSheet {
   const lines = parseCsv(text);
-  if (lines.err) return Err([lines.val]);
+  if (lines.err) return { rows: [], errors: [lines.val] };
   const reading: Reading = { rows: [], errors: [], section: null, columns: null, seen: new Set() };
+  let untitled = 0;
   for (const { record, info } of lines.val) {
     const first = record[0] ?? '';
-    if (record.every((cell) => cell === '') || first.startsWith('#')) continue;
+    if (record.every((cell) => cell === '')) continue;
     if (/^\[.*\]$/.test(first)) startSection(reading, first, info.lines);
-    else if (reading.section === null && reading.seen.size === 0 && reading.errors.length === 0) {
-      reading.errors.push({
-        row: info.lines,
-        section: '',
-        field: '',
-        message: 'row stands before the first [section]',
-      });
-    } else readRow(reading, record, info.lines);
+    else if (reading.section !== null) readRow(reading, record, info.lines);
+    else if (untitled === 0 && reading.errors.length === 0) untitled = info.lines;
   }
-  for (const section of SECTION_NAMES) {
-    if (!reading.seen.has(section)) {
-      reading.errors.push({ row: 0, section, field: '', message: 'section is missing' });
-    }
+  if (untitled > 0) {
+    const message = 'row stands before the first [section]';
+    reading.errors.push({ row: untitled, section: '', field: '', message });
   }
-  return reading.errors.length > 0 ? Err(reading.errors) : Ok(reading.rows);
+  return {
+    rows: reading.rows,
+    errors: [...reading.errors, ...findMissingSections(reading.seen)],
+  };
 }
--- a/src/sheet/schema.ts
+++ b/src/sheet/schema.ts
@@ -14,14 +14,24 @@
     'must be lower-case letters, digits and dashes, 1 to 63 long',
   );
 const ipAddress = z.union([z.ipv4(), z.ipv6()], { error: 'must be an IP address' });
-const port = z.coerce.number().int().min(1).max(LARGEST_PORT);
+// Number('') is 0 and Number('0x10') is 16, so the text is checked before it is converted.
+const digits = z.string().regex(/^(0|[1-9]\d*)$/, 'must be a whole number');
+const decimal = z.string().regex(/^(0|[1-9]\d*)(\.\d+)?$/, 'must be a number');
 const yesOrNo = z
   .enum(['yes', 'no'], { error: 'must be yes or no' })
   .transform((value) => value === 'yes');
-const count = (smallest: number, largest: number) =>
-  z.coerce.number({ error: 'must be a number' }).int().min(smallest).max(largest);
-const amount = (smallest: number, largest: number) =>
-  z.coerce.number({ error: 'must be a number' }).min(smallest).max(largest);
+const between = (smallest: number, largest: number) => ({
+  error: `must be from ${smallest} to ${largest}`,
+});
+const amount = (smallest: number, largest: number) => {
+  const range = between(smallest, largest);
+  return decimal.pipe(z.coerce.number<string>().min(smallest, range).max(largest, range));
+};
+const count = (smallest: number, largest: number) => {
+  const range = between(smallest, largest);
+  return digits.pipe(z.coerce.number<string>().int(range).min(smallest, range).max(largest, range));
+};
+const port = count(1, LARGEST_PORT);
 
 /** Row schemas of each section of a sheet; the single source of types, checks and docs/sheet.md. */
 export const SECTION_SCHEMAS = {
@@ -29,7 +39,9 @@
     version: count(1, Number.MAX_SAFE_INTEGER).describe(
       'Rises with each sheet; a lower one is never taken.',
     ),
-    date: z.iso.date().describe('Day for which the sheet was exported, YYYY-MM-DD.'),
+    date: z.iso
+      .date({ error: 'must be a date as YYYY-MM-DD' })
+      .describe('Day for which the sheet was exported, YYYY-MM-DD.'),
     rain: yesOrNo.describe(
       'yes when rain is forecast: priorities use rain_rank, and reserved room is kept.',
     ),
--- a/src/sheet/writeSheet.ts
+++ b/src/sheet/writeSheet.ts
@@ -1,5 +1,6 @@
+import { joinCanonical } from './canonicalRows';
 import { type CheckedRow } from './checkedRow';
-import { SECTION_NAMES, SECTION_SCHEMAS } from './schema';
+import { SECTION_NAMES, SECTION_SCHEMAS, type SectionName } from './schema';
 
 function writeCell(value: unknown): string {
   if (value === true) return 'yes';
@@ -10,16 +11,15 @@
 
 /** Writes rows in the canonical form: sections in order, columns of the schema, rows sorted. */
 export function writeSheet(rows: readonly CheckedRow[]): string {
-  const lines: string[] = [];
-  for (const section of SECTION_NAMES) {
+  const written = SECTION_NAMES.map((section): [SectionName, string[]] => {
     const columns = Object.keys(SECTION_SCHEMAS[section].shape);
-    const written = rows
+    const lines = rows
       .filter((row) => row.section === section)
       .map(({ value }) => {
         const cells: Readonly<Record<string, unknown>> = value;
         return columns.map((column) => writeCell(cells[column])).join(',');
       });
-    lines.push(`[${section}]`, columns.join(','), ...written.sort());
-  }
-  return `${lines.join('\n')}\n`;
+    return [section, lines];
+  });
+  return joinCanonical(new Map(written));
 }
