Operators' interface and limpetknotctl

Cause: orders, sheets and the status could not be reached from outside a gateway. Change: hono interface with bearer token or loopback admission, RFC 9457 problems and body limits; limpetknotctl with check, load, show, zone orders and status; switches in the settings table. Orders carry a client-made id, so the next gateway recognises a repeat.

--- /dev/null
+++ b/src/control/askFirst.ts
@@ -0,0 +1,34 @@
+import { Err, Ok, type Result } from 'ts-results';
+
+import { type ProblemBody } from '../operators';
+
+import { type GatewayAnswer } from './gatewayAnswer';
+import { type GatewayClient } from './gatewayClient';
+import { reading } from './gatewayRequest';
+import { parseProblem } from './parseAnswer';
+
+/** Why no gateway gave what was asked: a refusal, or that none could be reached. */
+export interface AskError {
+  readonly refusal: ProblemBody | null;
+  readonly details: readonly string[];
+}
+
+/** Reads `path` from the first gateway that answers with 200. */
+export async function askFirst(
+  client: GatewayClient,
+  gateways: readonly string[],
+  path: string,
+): Promise<Result<GatewayAnswer, AskError>> {
+  let refusal: ProblemBody | null = null;
+  const details: string[] = [];
+  for (const gateway of gateways) {
+    const answer = await client.send(gateway, reading(path));
+    if (answer.ok && answer.val.status === 200) return Ok(answer.val);
+    if (answer.err) details.push(answer.val.detail);
+    else {
+      refusal = parseProblem(answer.val);
+      details.push(`${gateway}: ${refusal.detail}`);
+    }
+  }
+  return Err({ refusal, details });
+}
--- /dev/null
+++ b/src/control/columns.ts
@@ -0,0 +1,14 @@
+/** Lays out rows in columns; the first row is the header. */
+export function columns(rows: readonly (readonly string[])[]): string {
+  const widths = (rows[0] ?? []).map((_cell, index) =>
+    Math.max(...rows.map((row) => (row[index] ?? '').length)),
+  );
+  return rows
+    .map((row) =>
+      row
+        .map((cell, index) => cell.padEnd(widths[index] ?? 0))
+        .join('  ')
+        .trimEnd(),
+    )
+    .join('\n');
+}
--- /dev/null
+++ b/src/control/controlIo.ts
@@ -0,0 +1,10 @@
+/** The surroundings of one run of limpetknotctl. */
+export interface ControlIo {
+  readonly arguments: readonly string[];
+  readonly environment: Readonly<Record<string, string | undefined>>;
+  /** Writes to standard output. */
+  readonly out: (text: string) => void;
+  /** Writes to standard error. */
+  readonly err: (text: string) => void;
+  readonly newOrderId: () => string;
+}
--- /dev/null
+++ b/src/control/gatewayAnswer.ts
@@ -0,0 +1,5 @@
+/** What a gateway answered. */
+export interface GatewayAnswer {
+  readonly status: number;
+  readonly text: string;
+}
--- /dev/null
+++ b/src/control/index.ts
@@ -0,0 +1,4 @@
+export { main } from './main';
+export { runControl } from './runControl';
+export { type ControlIo } from './controlIo';
+export { EXIT } from './exitCode';
--- /dev/null
+++ b/src/control/parseAnswer.ts
@@ -0,0 +1,30 @@
+import { type z } from 'zod';
+
+import { problemBodySchema, type ProblemBody } from '../operators';
+
+import { type GatewayAnswer } from './gatewayAnswer';
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return null;
+  }
+}
+
+/** The body of a 200 answer, or null when it is not of the given form. */
+export function parseAnswer<Schema extends z.ZodType>(
+  answer: GatewayAnswer,
+  schema: Schema,
+): z.output<Schema> | null {
+  const checked = schema.safeParse(parseJson(answer.text));
+  return answer.status === 200 && checked.success ? checked.data : null;
+}
+
+/** The problem of an answer; one that only names the status when the body is none. */
+export function parseProblem(answer: GatewayAnswer): ProblemBody {
+  const checked = problemBodySchema.safeParse(parseJson(answer.text));
+  if (checked.success) return checked.data;
+  const { status } = answer;
+  return { type: 'about:blank', title: 'no problem body', status, detail: `status ${status}` };
+}
--- /dev/null
+++ b/src/control/readSheetFile.ts
@@ -0,0 +1,18 @@
+import { createReadStream } from 'node:fs';
+
+import { Err, Ok, type Result } from 'ts-results';
+
+import { LARGEST_SHEET_BYTES } from '../sheet';
+
+/** Reads a file as text, at most one byte more than a sheet may have. */
+export async function readSheetFile(path: string): Promise<Result<string, string>> {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of createReadStream(path, { end: LARGEST_SHEET_BYTES })) {
+      chunks.push(chunk as Buffer);
+    }
+    return Ok(Buffer.concat(chunks).toString('utf8'));
+  } catch (error) {
+    return Err((error as Error).message);
+  }
+}
--- /dev/null
+++ b/src/operators/describeStatus.ts
@@ -0,0 +1,61 @@
+import { type FleetView } from '../fleet';
+
+import { type GatewayStatus } from './gatewayStatus';
+import { type OperatorContext } from './operatorContext';
+import { readinessOf } from './readiness';
+
+type FleetPart = Pick<
+  GatewayStatus,
+  'epoch' | 'sheetVersion' | 'sheetFingerprint' | 'zones' | 'hosts'
+>;
+
+const NO_VIEW: FleetPart = {
+  epoch: null,
+  sheetVersion: null,
+  sheetFingerprint: null,
+  zones: [],
+  hosts: [],
+};
+
+function describeView({ record, sheet }: FleetView): FleetPart {
+  const zones = [...sheet.zones.keys()].map((zone) => ({
+    zone,
+    inService: !record.zonesOut.includes(zone),
+  }));
+  const hosts = [...sheet.hosts.values()].map((host) => ({
+    host: host.host,
+    zone: host.zone,
+    address: host.address,
+    operatorPort: host.operator_port,
+    member: record.members.includes(host.host),
+  }));
+  return {
+    epoch: record.epoch,
+    sheetVersion: record.sheetVersion,
+    sheetFingerprint: record.sheetFingerprint,
+    zones,
+    hosts,
+  };
+}
+
+/** The answer to `GET /status`. */
+export function describeStatus(context: OperatorContext): GatewayStatus {
+  const { clock, fleet, status } = context;
+  const view = fleet.view();
+  const warnings = status.openWarnings().map(({ condition, subject, detail, since }) => ({
+    condition,
+    subject,
+    detail,
+    heldMs: Math.round(clock.now() - since),
+  }));
+  return {
+    host: context.hostId,
+    software: context.software,
+    ...readinessOf(fleet, clock, context.isStopping()),
+    ...(view === null ? NO_VIEW : describeView(view)),
+    publishedVersion: status.publishedVersion(),
+    callsInFlight: status.callsInFlight(),
+    targets: status.targets(),
+    warnings,
+  };
+}
--- /dev/null
+++ b/src/operators/index.ts
@@ -0,0 +1,11 @@
+export { operatorServer } from './operatorServer';
+export { operatorApp, type OperatorApp } from './operatorApp';
+export { type OperatorContext } from './operatorContext';
+export { type StatusSource } from './statusSource';
+export { type TargetStatus } from './targetStatus';
+export { gatewayStatusSchema, type GatewayStatus } from './gatewayStatus';
+export { acceptanceSchema } from './orderInput';
+export { problemBodySchema, type ProblemBody } from './problemBody';
+export { rejectionKindOf } from './problems';
+export { readinessOf, type Readiness } from './readiness';
+export { OPERATOR_EVENTS } from './events';
--- /dev/null
+++ b/src/operators/operatorServer.ts
@@ -0,0 +1,18 @@
+import { type Server } from 'node:http';
+
+import { createAdaptorServer } from '@hono/node-server';
+
+import { operatorApp } from './operatorApp';
+import { type OperatorContext } from './operatorContext';
+
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 30_000;
+
+/** The server of the operators' port; the caller lets it listen and closes it. */
+export function operatorServer(context: OperatorContext): Server {
+  const app = operatorApp(context);
+  return createAdaptorServer({
+    fetch: app.fetch,
+    serverOptions: { headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS },
+  }) as Server;
+}
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -8,3 +8,4 @@
 export { type SettingsError, formatSettingsError } from './settingsError';
 export { helpText } from './helpText';
 export { GATEWAY_SETTINGS, type GatewaySettings } from './gatewaySettings';
+export { CONTROL_SETTINGS, type ControlSettings } from './controlSettings';
--- a/src/settings/readSettings.ts
+++ b/src/settings/readSettings.ts
@@ -28,7 +28,10 @@
   source: SettingsSource,
 ): Result<SettingsReading<Table>, readonly SettingsError[]> {
   const options = Object.fromEntries(
-    Object.keys(table).map((flag) => [flag, { type: 'string' as const }]),
+    Object.entries(table).map(([flag, { isSwitch }]) => [
+      flag,
+      { type: isSwitch ? ('boolean' as const) : ('string' as const) },
+    ]),
   );
   const errors: SettingsError[] = [];
   let flags: Readonly<Record<string, unknown>> = {};
@@ -42,7 +45,9 @@
   }
   const values: Record<string, unknown> = {};
   for (const [flag, definition] of Object.entries(table)) {
-    const given = flags[flag] ?? source.environment[variableOf(flag)] ?? definition.fallback;
+    const flagValue = flags[flag] === true ? 'true' : flags[flag];
+    const variable = definition.isSwitch ? undefined : source.environment[variableOf(flag)];
+    const given = flagValue ?? variable ?? definition.fallback;
     if (given === null || given === undefined) {
       errors.push({ setting: flag, message: `is required (--${flag} or ${variableOf(flag)})` });
       continue;
--- a/src/settings/settingDefinition.ts
+++ b/src/settings/settingDefinition.ts
@@ -6,6 +6,8 @@
   /** Value taken when neither flag nor variable is given; null when the setting is required. */
   readonly fallback: string | null;
   readonly unit: string;
+  /** A flag without value, read from the command line only; its value is 'true' or the fallback. */
+  readonly isSwitch?: boolean;
   readonly description: string;
 }
 
--- a/src/sheet/parseSheet.ts
+++ b/src/sheet/parseSheet.ts
@@ -42,9 +42,8 @@
 }
 
 function checkText(text: string): readonly SheetError[] {
-  const size = Buffer.byteLength(text);
-  if (size > LARGEST_SHEET_BYTES) {
-    const message = `sheet has ${size} bytes; the largest is ${LARGEST_SHEET_BYTES}`;
+  if (Buffer.byteLength(text) > LARGEST_SHEET_BYTES) {
+    const message = `sheet is above the largest size of ${LARGEST_SHEET_BYTES} bytes`;
     return [{ row: 0, section: '', field: '', message }];
   }
   const places = NOT_TEXT.map((mark) => text.indexOf(mark)).filter((place) => place !== -1);
--- /dev/null
+++ b/test/control.test.ts
@@ -0,0 +1,164 @@
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer, type Server } from 'node:http';
+import { type AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { Err, Ok } from 'ts-results';
+
+import { runControl } from '../src/control';
+import { freePort } from '../standins';
+
+import { FakeFleet, fakeContext, smallSheet, startOperators } from './operatorFakes';
+
+const CONTROL = join(__dirname, '..', 'bin', 'limpetknotctl.js');
+const folder = mkdtempSync(join(tmpdir(), 'limpetknotctl-'));
+const servers: Server[] = [];
+const goodSheet = join(folder, 'good.csv');
+const badSheet = join(folder, 'bad.csv');
+
+beforeAll(() => {
+  writeFileSync(goodSheet, smallSheet(7).text);
+  writeFileSync(badSheet, smallSheet(7).text.replace('zone-1,region-1', 'Zone 1,region-1'));
+});
+
+afterAll(() => {
+  for (const server of servers) {
+    server.close();
+    server.closeAllConnections();
+  }
+  rmSync(folder, { recursive: true });
+});
+
+async function gateway() {
+  const fleet = new FakeFleet('host-1', smallSheet(1));
+  const { server, port } = await startOperators(fakeContext('host-1', fleet));
+  servers.push(server);
+  fleet.answer = Ok({ orderId: 'made', epoch: 2, unchanged: false });
+  return { fleet, address: `127.0.0.1:${port}` };
+}
+
+/** Takes a request and closes the connection without an answer. */
+async function silentGateway(): Promise<string> {
+  const server = createServer((request) => request.socket.destroy());
+  servers.push(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+async function run(line: string, gateways: readonly string[] = []) {
+  let out = '';
+  let err = '';
+  const code = await runControl({
+    arguments: line.split(' ').filter((word) => word !== ''),
+    environment: { LIMPETKNOT_GATEWAYS: gateways.length === 0 ? undefined : gateways.join() },
+    out: (text) => {
+      out += text;
+    },
+    err: (text) => {
+      err += text;
+    },
+    newOrderId: () => 'made',
+  });
+  return { code, out, err };
+}
+
+// Guards against scripts that go on after a wrong or incomplete command.
+test.each([
+  '',
+  'reboot',
+  'sheet',
+  'zone out',
+  'zone out a b',
+  'zone back a --force',
+  'status --gateways here',
+  'status --order-id a_b',
+  'sheet check /no/such/file',
+])('wrong usage: %s', async (line) => {
+  expect((await run(line)).code).toBe(2);
+});
+
+// Guards against the exit codes and the output that programs rely on.
+test('sheet check', async () => {
+  expect(await run(`sheet check ${goodSheet}`)).toMatchObject({ code: 0, err: '' });
+  const bad = await run(`sheet check ${badSheet}`);
+  expect(bad.code).toBe(1);
+  expect(bad.err).toContain('zones.zone: must be lower-case letters');
+  expect(bad.err).toContain("hosts.zone: 'zone-1' is not in section [zones]");
+  const json = await run(`sheet check ${badSheet} --json`);
+  expect(JSON.parse(json.out).errors.length).toBe(bad.err.trim().split('\n').length);
+});
+
+// Guards against the program as installed failing where the library works.
+test('the installed command gives help, version and exit codes', () => {
+  const control = (...words: string[]) =>
+    spawnSync(process.execPath, [CONTROL, ...words], { encoding: 'utf8' });
+  expect(control('--help').stdout).toContain('zone out ZONE [--force]');
+  expect(control('--version').stdout).toMatch(/^limpetknotctl \d/);
+  expect(control('sheet', 'check', goodSheet).status).toBe(0);
+  expect(control('sheet', 'check', badSheet).status).toBe(1);
+  expect(control('sheet').status).toBe(2);
+});
+
+// Guards against an order that is lost because one gateway is down, or that runs under two ids.
+test('an order goes to the next gateway under the same id', async () => {
+  const down = `127.0.0.1:${await freePort()}`;
+  const [unready, ready] = [await gateway(), await gateway()];
+  unready.fleet.answer = Err({ kind: 'not-ready', detail: 'starting' });
+  const gateways = [down, unready.address, await silentGateway(), ready.address];
+  expect((await run('zone out zone-1 --force', gateways)).code).toBe(0);
+  const order = { kind: 'zone-out', id: 'made', zone: 'zone-1', force: true };
+  expect([unready.fleet.orders, ready.fleet.orders]).toEqual([[order], [order]]);
+  expect((await run('zone back zone-1 --order-id again', [ready.address])).code).toBe(0);
+  expect(ready.fleet.orders[1]).toEqual({ kind: 'zone-back', id: 'again', zone: 'zone-1' });
+});
+
+// Guards against a result that claims more than is known.
+test('exit codes tell refused, unreachable and unknown apart', async () => {
+  const down = `127.0.0.1:${await freePort()}`;
+  const silent = await silentGateway();
+  const { fleet, address } = await gateway();
+  expect((await run('zone out zone-1', [down])).code).toBe(3);
+  expect((await run('status', [down])).code).toBe(3);
+  fleet.answer = Err({ kind: 'not-ready', detail: 'starting' });
+  expect((await run('zone out zone-1', [down, address])).code).toBe(1);
+  const lost = await run('zone out zone-1', [silent, address]);
+  expect(lost.code).toBe(4);
+  expect(lost.err).toContain('--order-id made');
+  fleet.answer = Err({ kind: 'outcome-unknown', detail: 'no majority answered' });
+  expect((await run(`sheet load ${goodSheet}`, [address])).code).toBe(4);
+  fleet.answer = Err({ kind: 'conflict', detail: 'order o-9 was first' });
+  const conflict = await run('zone out zone-1', [silent, address]);
+  expect(conflict.code).toBe(1);
+  expect(conflict.err).toContain('o-9');
+  const before = fleet.orders.length;
+  expect((await run(`sheet load ${badSheet}`, [address])).code).toBe(1);
+  expect(fleet.orders).toHaveLength(before);
+});
+
+// Guards against a status that hides a gateway that does not answer.
+test('status asks all hosts of the sheet', async () => {
+  const ports = [await freePort(), await freePort(), await freePort()];
+  const sheet = smallSheet(3, ports);
+  for (const id of [1, 2]) {
+    const fleet = new FakeFleet(`host-${id}`, sheet);
+    const started = await startOperators(fakeContext(`host-${id}`, fleet), ports[id - 1]);
+    servers.push(started.server);
+  }
+  const address = [`127.0.0.1:${ports[1]}`];
+  const { code, out } = await run('status', address);
+  expect(code).toBe(0);
+  expect(out).toMatch(/host-1 +zone-1 +ready +yes +1 +3 +3/);
+  expect(out).toMatch(/host-3 +zone-1 +no answer/);
+  expect(out).toMatch(/no-capacity +calendar/);
+  const json = JSON.parse((await run('status --json', address)).out);
+  expect(json.gateways.map(({ status }: { status: unknown }) => status !== null)).toEqual([
+    true,
+    true,
+    false,
+  ]);
+  expect((await run('sheet show', address)).out).toBe(sheet.text);
+});
--- /dev/null
+++ b/test/operatorFakes.ts
@@ -0,0 +1,102 @@
+import { type Server } from 'node:http';
+import { type AddressInfo } from 'node:net';
+
+import Logger from 'bunyan';
+import { Err, type Result } from 'ts-results';
+
+import {
+  type Acceptance,
+  EventLog,
+  type Fleet,
+  FixedFleet,
+  type FleetView,
+  ManualClock,
+  type Order,
+  parseSheet,
+  type Rejection,
+  type Sheet,
+} from '../src';
+import { type OperatorContext, operatorServer } from '../src/operators';
+import { sheetText } from '../standins';
+
+/** A small sheet whose hosts have the given operator ports. */
+export function smallSheet(version: number, operatorPorts: readonly number[] = [4]): Sheet {
+  const text = sheetText({
+    version,
+    zones: ['zone-1', 'zone-2'],
+    hosts: operatorPorts.map((operatorPort, index) => ({
+      id: `host-${index + 1}`,
+      zone: `zone-${(index % 2) + 1}`,
+      callerPort: 1,
+      relayPort: 2,
+      peerPort: 10 + index,
+      operatorPort,
+    })),
+    services: [{ name: 'calendar', targets: [{ id: 't-1', zone: 'zone-1', port: 9 }] }],
+  });
+  return parseSheet(text).expect('the small sheet is valid');
+}
+
+/** A fleet that records orders and answers as told. */
+export class FakeFleet implements Fleet {
+  readonly orders: Order[] = [];
+
+  answer: Result<Acceptance, Rejection> = Err({ kind: 'not-ready', detail: 'no answer set' });
+
+  deadline = Number.POSITIVE_INFINITY;
+
+  known: FleetView | null;
+
+  constructor(hostId: string, sheet: Sheet) {
+    this.known = new FixedFleet(hostId, sheet).view();
+  }
+
+  view(): FleetView | null {
+    return this.known;
+  }
+
+  viewDeadline(): number {
+    return this.deadline;
+  }
+
+  onChange(): () => void {
+    return () => {};
+  }
+
+  submit(order: Order): Promise<Result<Acceptance, Rejection>> {
+    this.orders.push(order);
+    return Promise.resolve(this.answer);
+  }
+}
+
+/** Context of a gateway `hostId` with a fake fleet. */
+export function fakeContext(hostId: string, fleet: FakeFleet): OperatorContext {
+  const warning = { condition: 'no-capacity', subject: 'calendar', detail: 'x', since: 0 } as const;
+  return {
+    hostId,
+    software: '0',
+    token: '',
+    clock: new ManualClock(),
+    events: new EventLog(Logger.createLogger({ name: 'test', streams: [] })),
+    fleet,
+    isStopping: () => false,
+    status: {
+      callsInFlight: () => 3,
+      targets: () => [],
+      publishedVersion: () => 1,
+      openWarnings: () => [warning],
+    },
+  };
+}
+
+/** Starts the operators' interface on a free loopback port. */
+export async function startOperators(
+  context: OperatorContext,
+  port = 0,
+): Promise<{ readonly server: Server; readonly port: number }> {
+  const server = operatorServer(context);
+  await new Promise<void>((resolve) => {
+    server.listen(port, '127.0.0.1', resolve);
+  });
+  return { server, port: (server.address() as AddressInfo).port };
+}
