--- a/src/fleet/fleetState.ts
+++ b/src/fleet/fleetState.ts
@@ -10,7 +10,7 @@
   readonly assignment: Assignment;
 }
 
-/** Derives the owners of a record; those of `previous` are kept where nothing changed. */
+/** Derives the owners of a record, at a cost that follows what changed since `previous`. */
 export function makeFleetState(
   record: FleetRecord,
   sheet: Sheet,
@@ -19,9 +19,6 @@
   if (sheet.fingerprint !== record.sheetFingerprint) {
     throw new Error(`epoch ${record.epoch} names another sheet than ${sheet.fingerprint}`);
   }
-  return Object.freeze({
-    record,
-    sheet,
-    assignment: assignOwners(sheet, record.members, previous?.assignment),
-  });
+  const assignment = assignOwners(sheet, record.members, previous?.assignment ?? null);
+  return Object.freeze({ record, sheet, assignment });
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,12 +31,12 @@
   readonly events: EventLog;
   readonly decisions: DecisionLog;
   readonly fleet: Fleet;
-  /** Learns the state of released targets from routing; absent for a fleet without handover. */
-  readonly handover?: RouterHandover;
   /** Where metrics go; nowhere when absent. */
   readonly metrics?: MetricsSink;
   /** Limits on callers' requests; the usual ones when absent. */
   readonly requestLimits?: RequestLimits;
+  /** Learns the state of released targets from routing; absent for a fleet without handover. */
+  readonly handover?: RouterHandover;
 }
 
 /** A running gateway. */
@@ -51,12 +51,12 @@
 
 function makeContext(settings: GatewaySettings, parts: GatewayParts): ForwarderContext {
   const router = new Router(parts.fleet, parts.clock, parts.random, settings.policy);
-  parts.fleet.onChange((view) => router.applyView(view));
-  parts.handover?.follow(router);
   const loadGuard = new LoadGuard(parts.clock);
   const recorder = new OutcomeRecorder((violation) =>
     parts.events.emit(FORWARDING_EVENTS.outcomeViolated, { violation }),
   );
+  parts.fleet.onChange((view) => router.applyView(view));
+  parts.handover?.follow(router);
   return {
     loadGuard,
     recorder,
