--- a/scripts/docs/catalogue.ts
+++ b/scripts/docs/catalogue.ts
@@ -1,4 +1,4 @@
-import { existsSync, readdirSync } from 'node:fs';
+import { readdirSync, statSync } from 'node:fs';
 import { join } from 'node:path';
 
 /** Definitions of one kind that a module exports. */
@@ -7,22 +7,28 @@
   readonly definitions: readonly Definition[];
 }
 
-/** Imports `file` of each module in `source` that has it and returns the tables that it exports. */
+async function readTables(path: string): Promise<readonly object[]> {
+  const exports = (await import(path)) as Record<string, object>;
+  // A CommonJS module also appears under `default` and `module.exports`.
+  return Object.entries(exports)
+    .filter(([name]) => /^[A-Z][A-Z_]*$/.test(name))
+    .map(([, table]) => table);
+}
+
+/** Returns the tables that files named `events` or `...Events` (or `metrics`) of each module export. */
 export async function readCatalogue<Definition>(
   source: string,
-  file: string,
+  kind: 'events' | 'metrics',
 ): Promise<readonly CatalogueModule<Definition>[]> {
+  const ending = new RegExp(`^([a-z][A-Za-z]*)?${kind}\\.(ts|js)$`, 'i');
   const modules: CatalogueModule<Definition>[] = [];
   for (const module of readdirSync(source).sort()) {
-    const found = ['ts', 'js']
-      .map((extension) => join(source, module, `${file}.${extension}`))
-      .find((path) => existsSync(path));
-    if (found === undefined) continue;
-    const tables = (await import(found)) as Record<string, unknown>;
-    // A CommonJS module also appears under `default` and `module.exports`.
-    const named = Object.entries(tables).filter(([name]) => /^[A-Z][A-Z_]*$/.test(name));
-    const definitions = named.flatMap(([, table]) => Object.values(table as object));
-    modules.push({ module, definitions: definitions as Definition[] });
+    const folder = join(source, module);
+    if (!statSync(folder).isDirectory()) continue;
+    const files = readdirSync(folder).filter((name) => ending.test(name));
+    const tables = await Promise.all(files.sort().map((name) => readTables(join(folder, name))));
+    const definitions = tables.flat().flatMap((table) => Object.values(table));
+    if (definitions.length > 0) modules.push({ module, definitions: definitions as Definition[] });
   }
   return modules;
 }
--- /dev/null
+++ b/src/fleet/sheetEncoding.ts
@@ -0,0 +1,74 @@
+import { promisify } from 'node:util';
+import { gunzip, gzip } from 'node:zlib';
+
+import { Err, Ok, type Result } from 'ts-results';
+import { z } from 'zod';
+
+import {
+  applyDelta,
+  LARGEST_SHEET_BYTES,
+  parseSheet,
+  SECTION_NAMES,
+  type Sheet,
+  type SheetDelta,
+} from '../sheet';
+
+const compress = promisify(gzip);
+const decompress = promisify(gunzip);
+
+// A delta lists at most the rows of two sheets, with JSON around them.
+const LARGEST_CONTENT_BYTES = 4 * LARGEST_SHEET_BYTES;
+
+const rows = z.array(z.string()).readonly();
+const deltaSchema: z.ZodType<SheetDelta> = z.object({
+  baseFingerprint: z.string(),
+  wantedFingerprint: z.string(),
+  sections: z
+    .array(z.object({ section: z.enum(SECTION_NAMES), removed: rows, added: rows }).readonly())
+    .readonly(),
+});
+
+/** Compresses a delta for its way to another host. */
+export function encodeDelta(delta: SheetDelta): Promise<Buffer> {
+  return compress(JSON.stringify(delta));
+}
+
+/** Compresses a whole sheet for its way to another host. */
+export function encodeSheet(sheet: Sheet): Promise<Buffer> {
+  return compress(sheet.text);
+}
+
+async function readText(data: Buffer): Promise<Result<string, string>> {
+  try {
+    const content = await decompress(data, { maxOutputLength: LARGEST_CONTENT_BYTES });
+    return Ok(content.toString());
+  } catch (error) {
+    return Err(`cannot be decompressed: ${String(error)}`);
+  }
+}
+
+function readDelta(text: string): Result<SheetDelta, string> {
+  try {
+    const checked = deltaSchema.safeParse(JSON.parse(text));
+    return checked.success ? Ok(checked.data) : Err('is no delta');
+  } catch {
+    return Err('is no JSON');
+  }
+}
+
+/** Reads what another host sent; `base` is null for a whole sheet, else the base of a delta. */
+export async function decodeSheet(
+  data: Buffer,
+  base: Sheet | null,
+  wantedFingerprint: string,
+): Promise<Result<Sheet, string>> {
+  const text = await readText(data);
+  if (text.err) return text;
+  const delta = base === null ? null : readDelta(text.val);
+  if (delta?.err) return delta;
+  const sheet =
+    base === null || delta === null ? parseSheet(text.val) : applyDelta(base, delta.val);
+  if (sheet.err) return Err(`holds no valid sheet: ${sheet.val[0]?.message ?? ''}`);
+  if (sheet.val.fingerprint !== wantedFingerprint) return Err('holds another sheet');
+  return Ok(sheet.val);
+}
--- /dev/null
+++ b/test/fleet/sheetStore.test.ts
@@ -0,0 +1,119 @@
+import { Err, Ok } from 'ts-results';
+
+import {
+  CONFIGURATION_EVENTS as EVENTS,
+  ManualClock,
+  SeededRandom,
+  type Sheet,
+  SheetStore,
+  SilentSink,
+} from '../../src';
+import { type FetchSheetRequest, type SheetChunk, type SheetHandler } from '../../src/peer';
+
+import { recordedEvents, settle, sheetOf } from './configurationFakes';
+
+/** Stores that reach each other in memory; `damage` may change what is sent. */
+function network() {
+  const clock = new ManualClock();
+  const handlers = new Map<string, SheetHandler>();
+  const requests: { readonly to: string; readonly request: FetchSheetRequest }[] = [];
+  const sent: SheetChunk[] = [];
+  const { events, numbers } = recordedEvents();
+  const world = { damage: (chunks: readonly SheetChunk[]) => chunks };
+  const store = (hostId: string, ...sheets: readonly Sheet[]) => {
+    const made = new SheetStore({
+      clock,
+      random: new SeededRandom(5),
+      events,
+      metrics: new SilentSink(),
+      transport: {
+        handleFetchSheet: (handler) => handlers.set(hostId, handler),
+        fetchSheet: async (to, request) => {
+          requests.push({ to, request });
+          const handler = handlers.get(to);
+          if (handler === undefined) return Err({ kind: 'unreachable', detail: 'no such host' });
+          const chunks: SheetChunk[] = [];
+          for await (const chunk of handler(request)) chunks.push(chunk);
+          sent.push(...chunks);
+          return Ok(world.damage(chunks));
+        },
+      },
+    });
+    for (const sheet of sheets) made.add(sheet);
+    return made;
+  };
+  return { clock, store, requests, sent, numbers, world };
+}
+
+// Guards against whole sheets being sent where a few rows changed.
+test('a delta is sent when the sender has the base, else the whole sheet', async () => {
+  const { store, sent } = network();
+  const [base, wanted] = [sheetOf(1, 300), sheetOf(2, 301)];
+  store('both', base, wanted);
+  store('newest', wanted);
+  const viaDelta = await store('a', base).obtain(wanted.fingerprint, ['both']);
+  const viaWhole = await store('b', base).obtain(wanted.fingerprint, ['newest']);
+  expect([viaDelta.unwrap().text, viaWhole.unwrap().text]).toEqual([wanted.text, wanted.text]);
+  expect(sent.map((chunk) => chunk.delta)).toEqual([true, false]);
+  expect(sent[0]!.data.length).toBeLessThan(sent[1]!.data.length / 3);
+});
+
+// Guards against a host that stays without a sheet that some host holds.
+test('hosts that are unreachable, lack the sheet or send a wrong one are passed over', async () => {
+  const { store, requests } = network();
+  const wanted = sheetOf(2);
+  store('empty');
+  store('holder', wanted);
+  const asking = store('asking');
+  const hosts = ['away', 'empty', 'holder'];
+  const found = await Promise.all([1, 2].map(() => asking.obtain(wanted.fingerprint, hosts)));
+  expect(found.map((each) => each.unwrap().version)).toEqual([2, 2]);
+  expect(new Set(requests.map(({ to }) => to)).size).toBe(requests.length);
+  const missing = await asking.obtain('unknown', ['empty']);
+  expect(missing.err && missing.val.kind).toBe('not-found');
+  expect(asking.get(wanted.fingerprint)?.version).toBe(2);
+});
+
+// Guards against damaged data that is taken, or that breaks the fetching host.
+test('a damaged delta is replaced by the whole sheet, a damaged whole is refused', async () => {
+  const { store, numbers, requests, world } = network();
+  const [base, wanted] = [sheetOf(1, 300), sheetOf(2, 301)];
+  store('holder', base, wanted);
+  const cut = (chunks: readonly SheetChunk[]) =>
+    chunks.map((chunk) => ({ ...chunk, data: chunk.data.subarray(0, 40) }));
+  world.damage = (chunks) => (chunks[0]?.delta ? cut(chunks) : chunks);
+  expect((await store('a', base).obtain(wanted.fingerprint, ['holder'])).ok).toBe(true);
+  expect(requests.map(({ request }) => request.baseFingerprint)).toEqual([base.fingerprint, '']);
+  expect(numbers).toEqual([EVENTS.deltaUnusable.number]);
+  world.damage = cut;
+  const refused = await store('b').obtain(wanted.fingerprint, ['holder']);
+  expect(refused.err && refused.val.kind).toBe('invalid');
+});
+
+// Guards against memory that grows with each sheet of the day.
+test('the last eight sheets are kept', () => {
+  const sheets = Array.from({ length: 10 }, (_unused, index) => sheetOf(index + 1));
+  const kept = network().store('a', ...sheets);
+  const versions = sheets.map(({ fingerprint }) => kept.get(fingerprint)?.version ?? 0);
+  expect(versions).toEqual([0, 0, 3, 4, 5, 6, 7, 8, 9, 10]);
+});
+
+// Guards against a starting fleet that takes up the control traffic of one sender.
+test('the sender limits its rate over all requests', async () => {
+  const { clock, store, sent } = network();
+  const wanted = sheetOf(1, 3000);
+  store('holder', wanted);
+  let done = 0;
+  const fetches = Array.from({ length: 6 }, async (_unused, index) => {
+    await store(`asking-${index}`).obtain(wanted.fingerprint, ['holder']);
+    done += 1;
+  });
+  while (done < fetches.length && clock.now() < 60_000) {
+    await settle();
+    clock.advanceBy(50);
+  }
+  await Promise.all(fetches);
+  const bytes = sent.reduce((sum, chunk) => sum + chunk.data.length, 0);
+  expect(bytes / 64).toBeGreaterThan(1000);
+  expect(clock.now()).toBeGreaterThanOrEqual(bytes / 64 - 500);
+});
