--- a/src/warnings/conditionName.ts
+++ b/src/warnings/conditionName.ts
@@ -1,12 +1,13 @@
-/** Names of the conditions that may need a person. */
+/** Names of the conditions that need a person, in the order of docs/operating.md. */
 export const CONDITION_NAMES = [
-  'no-capacity',
+  'zone-without-capacity',
+  'service-without-capacity',
+  'quorum-lost',
   'configuration-stale',
   'sheet-invalid',
   'sheet-not-published',
-  'quorum-lost',
-  'call-crashes-targets',
   'version-conflict',
+  'call-crashes-targets',
 ] as const;
 
 /** Name of a condition; the same as its section in docs/operating.md. */
