--- a/test/operatorFakes.ts
+++ b/test/operatorFakes.ts
@@ -71,7 +71,12 @@
 
 /** Context of a gateway `hostId` with a fake fleet. */
 export function fakeContext(hostId: string, fleet: FakeFleet): OperatorContext {
-  const warning = { condition: 'zone-without-capacity', subject: 'zone-1', detail: 'x', since: 0 } as const;
+  const warning = {
+    condition: 'zone-without-capacity',
+    subject: 'zone-1',
+    detail: 'x',
+    since: 0,
+  } as const;
   return {
     hostId,
     software: '0',
