--- /dev/null
+++ b/measure/measurements/index.ts
@@ -0,0 +1,20 @@
+import { type Measurement } from '../measurement';
+
+import { addedLatency } from './addedLatency';
+import { coldStart } from './coldStart';
+import { failFast } from './failFast';
+import { loadShift } from './loadShift';
+import { overloadPriority } from './overloadPriority';
+import { retryChain } from './retryChain';
+import { stragglers } from './stragglers';
+
+/** All measurements by name. */
+export const MEASUREMENTS: Readonly<Record<string, Measurement>> = {
+  'added-latency': addedLatency,
+  stragglers,
+  'fail-fast': failFast,
+  'cold-start': coldStart,
+  'overload-priority': overloadPriority,
+  'load-shift': loadShift,
+  'retry-chain': retryChain,
+};
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -1,12 +1,12 @@
+import { once } from 'node:events';
 import { createWriteStream } from 'node:fs';
 import { Writable } from 'node:stream';
 
-import { Agent } from 'undici';
-
-import { FixedFleet } from '../fleet';
+import { type ReplicatedFleet } from '../fleet';
+import { Lifecycle } from '../lifecycle';
 import { BufferedWriter, createLogger, DecisionLog, EventLog } from '../logging';
-import { readConfiguration } from '../platform';
-import { SeededRandom, SystemClock } from '../runtime';
+import { SilentSink } from '../metrics';
+import { type Clock, SeededRandom, SystemClock, waitUntil } from '../runtime';
 import {
   formatSettingsError,
   GATEWAY_SETTINGS,
@@ -14,14 +14,17 @@
   helpText,
   readSettings,
 } from '../settings';
-import { parseSheet, type Sheet } from '../sheet';
 
 import { GATEWAY_EVENTS } from './events';
-import { startGateway } from './gateway';
+import { type GatewayParts, startGateway } from './gateway';
+import { openFleet } from './openFleet';
+import { RouterHandover } from './routerHandover';
 import { VERSION } from './version';
 
 const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
+const READY_POLL_MS = 50;
+const LEAVE_LIMIT_MS = 3000;
 
 function decisionOutput(path: string): Writable {
   if (path === '-') return process.stdout;
@@ -29,52 +32,69 @@
   return createWriteStream(path, { flags: 'a' });
 }
 
-async function readSheet(settings: GatewaySettings): Promise<Sheet | string> {
-  const dispatcher = new Agent();
-  const published = await readConfiguration({
-    url: settings['configuration-url'],
-    after: null,
-    waitSeconds: 0,
-    dispatcher,
-    signal: new AbortController().signal,
-  });
-  await dispatcher.close();
-  if (published.err) return published.val.detail;
-  const sheet = parseSheet(published.val?.text ?? '');
-  return sheet.ok ? sheet.val : `the published sheet is not valid: ${sheet.val.length} mistakes`;
+/** Reports the first moment at which callers may be sent here. */
+async function reportReady(
+  fleet: ReplicatedFleet,
+  clock: Clock,
+  events: EventLog,
+  signal: AbortSignal,
+): Promise<void> {
+  while (!fleet.isReady() && !signal.aborted) {
+    await waitUntil(clock, clock.now() + READY_POLL_MS, signal);
+  }
+  if (fleet.isReady()) events.emit(GATEWAY_EVENTS.ready, { epoch: fleet.view()?.record.epoch });
 }
 
-async function run(settings: GatewaySettings): Promise<number> {
-  const events = new EventLog(
-    createLogger('limpetknot-gateway', settings['host-id'], settings['log-level']),
-  );
-  const sheet = await readSheet(settings);
-  if (typeof sheet === 'string') {
-    events.emit(GATEWAY_EVENTS.startFailed, { reason: sheet });
-    return EXIT_FAILURE;
-  }
-  const writer = new BufferedWriter(decisionOutput(settings['decision-log']));
-  const gateway = await startGateway(settings, {
-    clock: new SystemClock(),
-    random: new SeededRandom(settings['random-seed'] || process.pid),
-    events,
-    decisions: new DecisionLog(writer, 'limpetknot-gateway', settings['host-id'], () => new Date()),
-    fleet: new FixedFleet(settings['host-id'], sheet),
-  });
+/** Aborted by the first SIGTERM or SIGINT. */
+function stopSignal(): AbortSignal {
+  const stop = new AbortController();
+  process.once('SIGTERM', () => stop.abort());
+  process.once('SIGINT', () => stop.abort());
+  return stop.signal;
+}
+
+async function serve(
+  settings: GatewaySettings,
+  fleet: ReplicatedFleet,
+  tools: Omit<GatewayParts, 'fleet'>,
+  signal: AbortSignal,
+): Promise<number> {
+  const { clock, events } = tools;
+  const gateway = await startGateway(settings, { ...tools, fleet });
   if (gateway.err) {
     events.emit(GATEWAY_EVENTS.startFailed, { ...gateway.val });
     return EXIT_FAILURE;
   }
-  await new Promise<void>((resolve) => {
-    process.once('SIGTERM', () => resolve());
-    process.once('SIGINT', () => resolve());
-  });
+  await reportReady(fleet, clock, events, signal);
+  if (!signal.aborted) await once(signal, 'abort');
+  await fleet.leave(clock.now() + Math.min(LEAVE_LIMIT_MS, settings['stop-limit']));
   await gateway.val.close();
-  await writer.close();
-  events.emit(GATEWAY_EVENTS.stopped);
   return 0;
 }
 
+async function run(settings: GatewaySettings): Promise<number> {
+  const events = new EventLog(
+    createLogger('limpetknot-gateway', settings['host-id'], settings['log-level']),
+  );
+  const signal = stopSignal();
+  const clock = new SystemClock();
+  const random = new SeededRandom(settings['random-seed'] || process.pid);
+  const writer = new BufferedWriter(decisionOutput(settings['decision-log']));
+  const hostId = settings['host-id'];
+  const decisions = new DecisionLog(writer, 'limpetknot-gateway', hostId, () => new Date());
+  const lifecycle = new Lifecycle();
+  lifecycle.own('decision log', () => writer.close());
+  const handover = new RouterHandover();
+  const parts = { clock, random, events, metrics: new SilentSink(), lifecycle, handover };
+  const fleet = await openFleet(settings, parts, signal);
+  let exitCode = signal.aborted ? 0 : EXIT_FAILURE;
+  if (fleet.ok) exitCode = await serve(settings, fleet.val, { ...parts, decisions }, signal);
+  else events.emit(GATEWAY_EVENTS.startFailed, { reason: fleet.val });
+  await lifecycle.close();
+  events.emit(GATEWAY_EVENTS.stopped);
+  return exitCode;
+}
+
 /** Entry point of limpetknot-gateway; returns the exit code. */
 export async function main(argumentList: readonly string[]): Promise<number> {
   if (argumentList.includes('--help')) {
--- a/test/fleet/ownership.test.ts
+++ b/test/fleet/ownership.test.ts
@@ -78,7 +78,7 @@
 
 // Guards against calls that are routed to a zone out of service.
 test('targets of a zone out of service are not offered', () => {
-  const groups = groupOwners(SHEET, assignOwners(SHEET, ALL), ['zone-1']);
+  const groups = groupOwners(SHEET, assignOwners(SHEET, ALL).owners, ['zone-1']);
   const offered = groups.get('round-sheet')!.flatMap((owner) => owner.targets);
   expect(offered).toHaveLength(20);
   expect(offered.some((target) => target.zone === 'zone-1')).toBe(false);
