Read sheets section by section

Cause: csv-parse makes an error object with a stack for each row whose width differs from the first row, which is nearly every row of a sheet. Change: the text is split at its titles, and each section is parsed by itself; an unreadable section does not hide mistakes in the others.

--- a/src/sheet/readRows.ts
+++ b/src/sheet/readRows.ts
@@ -4,6 +4,7 @@
 import { checkColumns } from './checkColumns';
 import { type RawRow } from './rawRow';
 import { SECTION_NAMES, type SectionName } from './schema';
+import { type SectionText, splitSections } from './sectionText';
 import { type SheetError } from './sheetError';
 
 interface CsvLine {
@@ -17,18 +18,13 @@
   readonly errors: readonly SheetError[];
 }
 
-interface Reading {
-  readonly rows: RawRow[];
-  readonly errors: SheetError[];
-  section: SectionName | null;
-  columns: readonly string[] | null;
-  readonly seen: Set<SectionName>;
+function mistake(row: number, section: string, message: string): SheetError {
+  return { row, section, field: '', message };
 }
 
-function parseCsv(text: string): Result<readonly CsvLine[], SheetError> {
+function parseCsv(section: SectionText): Result<readonly CsvLine[], SheetError> {
   try {
-    const lines = parse(text, {
-      bom: true,
+    const lines = parse(section.text, {
       comment: '#',
       comment_no_infix: true,
       info: true,
@@ -36,77 +32,62 @@
       skip_empty_lines: true,
       trim: true,
     }) as unknown as CsvLine[];
-    return Ok(lines);
+    return Ok(lines.filter(({ record }) => record.some((cell) => cell !== '')));
   } catch (error) {
-    const { message, lines } = error as Error & { lines?: number };
-    return Err({ row: lines ?? 0, section: '', field: '', message: `not a CSV file: ${message}` });
+    const { message, lines = 0 } = error as Error & { lines?: number };
+    return Err(mistake(section.row + lines, section.name ?? '', `not a CSV file: ${message}`));
   }
 }
 
-function startSection(reading: Reading, title: string, row: number): void {
-  const name = title.slice(1, -1);
-  reading.columns = null;
-  reading.section = null;
-  const known = SECTION_NAMES.find((section) => section === name);
-  if (known === undefined) {
-    const message = `unknown section; known are ${SECTION_NAMES.join(', ')}`;
-    reading.errors.push({ row, section: name, field: '', message });
-    return;
-  }
-  if (reading.seen.has(known)) {
-    reading.errors.push({ row, section: known, field: '', message: 'section appears twice' });
-  }
-  reading.seen.add(known);
-  reading.section = known;
+/** Columns and rows of a known section; `start` is the row of its title. */
+function readSection(section: SectionName, start: number, lines: readonly CsvLine[]): RawSheet {
+  const [header, ...others] = lines;
+  if (header === undefined) return { rows: [], errors: [] };
+  // Spreadsheets pad short rows with empty cells up to the widest section.
+  const columns = header.record.slice(0, header.record.findLastIndex((cell) => cell !== '') + 1);
+  const errors = checkColumns(section, columns, start + header.info.lines);
+  const rows = others.map(({ record, info }) => {
+    const row = start + info.lines;
+    const extra = record.slice(columns.length).findIndex((cell) => cell !== '');
+    if (extra !== -1) {
+      const column = columns.length + extra + 1;
+      errors.push(mistake(row, section, `has a value in column ${column}, which has no name`));
+    }
+    const entries = columns.map((column, index) => [column, record[index] ?? '']);
+    return { section, row, cells: Object.fromEntries(entries) as RawRow['cells'] };
+  });
+  return { rows, errors };
 }
 
-function readRow(reading: Reading, cells: readonly string[], row: number): void {
-  if (reading.section === null) return;
-  if (reading.columns === null) {
-    // Spreadsheets pad short rows with empty cells up to the widest section.
-    const last = cells.findLastIndex((cell) => cell !== '');
-    reading.columns = cells.slice(0, last + 1);
-    reading.errors.push(...checkColumns(reading.section, reading.columns, row));
-    return;
-  }
-  const { columns, section } = reading;
-  const extra = cells.slice(columns.length).findIndex((cell) => cell !== '');
-  if (extra !== -1) {
-    const message = `has a value in column ${columns.length + extra + 1}, which has no name`;
-    reading.errors.push({ row, section, field: '', message });
+function readPart(part: SectionText): RawSheet {
+  const lines = parseCsv(part);
+  if (lines.err) return { rows: [], errors: [lines.val] };
+  if (part.name === null) {
+    const first = lines.val[0];
+    if (first === undefined) return { rows: [], errors: [] };
+    const message = 'row stands before the first [section]';
+    return { rows: [], errors: [mistake(first.info.lines, '', message)] };
   }
-  const entries = columns.map((column, index): [string, string] => [column, cells[index] ?? '']);
-  reading.rows.push({ section, row, cells: Object.fromEntries(entries) });
+  const section = SECTION_NAMES.find((known) => known === part.name);
+  if (section !== undefined) return readSection(section, part.row, lines.val);
+  const message = `unknown section; known are ${SECTION_NAMES.join(', ')}`;
+  return { rows: [], errors: [mistake(part.row, part.name, message)] };
 }
 
-function findMissingSections(seen: ReadonlySet<SectionName>): SheetError[] {
-  return SECTION_NAMES.filter((section) => !seen.has(section)).map((section) => ({
-    row: 0,
-    section,
-    field: '',
-    message: 'section is missing',
-  }));
+function checkTitles(parts: readonly SectionText[]): SheetError[] {
+  return SECTION_NAMES.flatMap((section) => {
+    const [first, ...repeats] = parts.filter(({ name }) => name === section);
+    if (first === undefined) return [mistake(0, section, 'section is missing')];
+    return repeats.map(({ row }) => mistake(row, section, 'section appears twice'));
+  });
 }
 
 /** Splits the CSV text into the rows of its sections; reports each mistake of structure. */
 export function readRows(text: string): RawSheet {
-  const lines = parseCsv(text);
-  if (lines.err) return { rows: [], errors: [lines.val] };
-  const reading: Reading = { rows: [], errors: [], section: null, columns: null, seen: new Set() };
-  let untitled = 0;
-  for (const { record, info } of lines.val) {
-    const first = record[0] ?? '';
-    if (record.every((cell) => cell === '')) continue;
-    if (/^\[.*\]$/.test(first)) startSection(reading, first, info.lines);
-    else if (reading.section !== null) readRow(reading, record, info.lines);
-    else if (untitled === 0 && reading.errors.length === 0) untitled = info.lines;
-  }
-  if (untitled > 0) {
-    const message = 'row stands before the first [section]';
-    reading.errors.push({ row: untitled, section: '', field: '', message });
-  }
+  const parts = splitSections(text);
+  const read = parts.map(readPart);
   return {
-    rows: reading.rows,
-    errors: [...reading.errors, ...findMissingSections(reading.seen)],
+    rows: read.flatMap(({ rows }) => rows),
+    errors: [...read.flatMap(({ errors }) => errors), ...checkTitles(parts)],
   };
 }
