--- a/src/routing/answerTimes.ts
+++ b/src/routing/answerTimes.ts
@@ -2,7 +2,7 @@
 // One slow answer must not decide; five samples hold two thirds of the smoothed value.
 const SAMPLES_NEEDED = 5;
 
-/** Smoothed time from sending a call to the head of its answer, in milliseconds. */
+/** A smoothed time in milliseconds, such as that from sending a call to the head of its answer. */
 export class AnswerTimes {
   private smoothed = 0;
 
--- a/src/routing/coldRamp.ts
+++ b/src/routing/coldRamp.ts
@@ -63,7 +63,9 @@
   answered(good: boolean, now: number): void {
     if (this.phase === 'warm') return;
     if (!good) {
-      this.restartStep(now);
+      // Answer times scatter: with ten good answers in a row required, the limit of a healthy
+      // target often stood still.
+      this.good = Math.max(0, this.good - 1);
       return;
     }
     if (this.phase === 'cold') {
--- a/src/routing/servicePool.ts
+++ b/src/routing/servicePool.ts
@@ -4,6 +4,7 @@
 import { notRun, type NotRun } from '../outcomes';
 import { type Timer } from '../runtime';
 
+import { AnswerTimes } from './answerTimes';
 import { type AttemptResult } from './attemptResult';
 import { type CallTraits } from './callTraits';
 import { type Flight } from './flight';
@@ -26,7 +27,6 @@
 // milliseconds; a call waits this long for it before it is routed again.
 const HANDOVER_WAIT_MS = 300;
 const LONGEST_HOLD_MS = 1000;
-const WEIGHT_OF_NEWEST = 0.1;
 
 /** The targets of one service that this host owns, and the calls that wait for them. */
 export class ServicePool implements TargetPool {
@@ -39,8 +39,8 @@
   /** Calls in flight that are below the top rank. */
   private lowInFlight = 0;
 
-  /** Smoothed time for which a call holds its slot, in milliseconds. */
-  private holdMs = 0;
+  /** Time for which a call holds its slot. */
+  private readonly holdTimes = new AnswerTimes();
 
   constructor(private readonly context: PoolContext) {
     this.targets = new PoolTargets(context);
@@ -156,7 +156,7 @@
     const usual = state.times.usual || medianMs;
     this.targets.changing(state, now, () => judgeResult(state, flight, result, { now, medianMs }));
     if (isErrorAnswer(result)) this.hold(state, flight.takenAt + usual);
-    else if (result.kind === 'answered') this.countHold(now - flight.takenAt);
+    else if (result.kind === 'answered') this.holdTimes.add(now - flight.takenAt);
     this.targets.states.dropIfDone(state);
     this.serveQueue();
   }
@@ -172,26 +172,30 @@
     });
   }
 
-  private countHold(milliseconds: number): void {
-    const known = this.holdMs === 0 ? milliseconds : this.holdMs;
-    this.holdMs = known + WEIGHT_OF_NEWEST * (milliseconds - known);
-  }
-
   private refusal(call: CallTraits, rank: number, now: number): NotRun | null {
     if (this.targets.isLost(now)) {
       return notRun('no-usable-target', 'no target of the service is usable here');
     }
     const slots = Math.max(1, this.targets.limitFor(rank, now));
-    const waitMs = (this.queue.ahead(rank) * this.holdMs) / slots;
-    if (now + waitMs <= call.deadline) return null;
+    const waitMs = (this.queue.ahead(rank) * this.holdTimes.usual) / slots;
+    if (now + waitMs <= this.latestStart(call, now)) return null;
     return notRun('overloaded', `the expected wait of ${Math.ceil(waitMs)} ms is too long`);
   }
 
+  /**
+   * A call that starts later is cut off by its deadline, and its outcome is then unknown; "not
+   * run" tells the caller more.
+   */
+  private latestStart(call: CallTraits, now: number): number {
+    return call.deadline - this.targets.medianMs(now);
+  }
+
   private wait(call: CallTraits, rank: number, now: number): Promise<Result<Slot, NotRun>> {
     const unusable = this.targets.groups(now).trusted.length === 0;
-    const until = unusable ? Math.min(call.deadline, now + HANDOVER_WAIT_MS) : call.deadline;
+    const latestStart = this.latestStart(call, now);
+    const until = unusable ? Math.min(latestStart, now + HANDOVER_WAIT_MS) : latestStart;
     return new Promise((resolve) => {
-      const waiter: Waiter = { call, rank, settle: resolve, timer: null };
+      const waiter: Waiter = { call, rank, latestStart, settle: resolve, timer: null };
       this.queue.add(waiter);
       waiter.timer = this.context.clock.setTimer(until, () => this.giveUp(waiter));
       this.serveQueue();
@@ -200,9 +204,9 @@
 
   private giveUp(waiter: Waiter): void {
     if (!this.queue.remove(waiter)) return;
-    const late = this.now() >= waiter.call.deadline;
+    const late = this.now() >= waiter.latestStart;
     const refusal = late
-      ? notRun('deadline', 'no slot was free before the deadline')
+      ? notRun('deadline', 'no slot was free in time for an answer')
       : notRun('no-usable-target', 'no target of the service became usable here');
     waiter.settle(Err(refusal));
   }
@@ -228,7 +232,7 @@
     for (const waiter of this.queue.inOrder()) {
       if (!this.targets.hasRoom(now) || this.isHeldToReserve(waiter.rank, now)) return;
       // After a pause the timer of a call may still be due; it must not be sent late.
-      const late = now >= waiter.call.deadline;
+      const late = now >= waiter.latestStart;
       const slot = late ? null : this.take(waiter.call, waiter.rank, now);
       if (slot === null) continue;
       this.queue.remove(waiter);
--- a/src/routing/targetState.ts
+++ b/src/routing/targetState.ts
@@ -42,6 +42,9 @@
   /** Consecutive answers at low load that took far longer than the median. */
   slowAtLowLoad = 0;
 
+  /** Monotonic time of the last answer that counted as such. */
+  lastSlowAt = Number.NEGATIVE_INFINITY;
+
   /** Monotonic time of the last answer, probe or failure. */
   lastInformationAt = Number.NEGATIVE_INFINITY;
 
--- a/src/routing/waiter.ts
+++ b/src/routing/waiter.ts
@@ -10,6 +10,8 @@
 export interface Waiter {
   readonly call: CallTraits;
   readonly rank: number;
+  /** Monotonic time after which the call could not end before its deadline. */
+  readonly latestStart: number;
   readonly settle: (result: Result<Slot, NotRun>) => void;
   /** Fires when the call can no longer wait. */
   timer: Timer | null;
