--- a/src/fleet/replicatedFleet.ts
+++ b/src/fleet/replicatedFleet.ts
@@ -115,6 +115,8 @@
       acceptor,
       peers,
       sheet: () => this.replica.sheet(),
+      hosts: () => this.replica.hosts(),
+      voters: () => this.replica.voters(),
       adopt: (record) => this.replica.adopt(record),
     });
     await establishment.run(signal);
