--- a/src/forwarding/callerListener.ts
+++ b/src/forwarding/callerListener.ts
@@ -12,12 +12,13 @@
 import { type CallBody } from './callBody';
 import { Cancellation } from './cancellation';
 import { writeBaggage } from './depth';
+import { dropRest } from './dropRest';
 import { type EntryRun } from './entryRun';
 import { FORWARDING_EVENTS } from './events';
 import { type ForwarderContext } from './forwarderContext';
 import { endToEndHeaders } from './headers';
 import { MalformedRequests } from './malformedRequests';
-import { checkDeclaredLength, hasBody, readBody } from './readBody';
+import { checkDeclaredLength, readBody } from './readBody';
 import { readHead, type RequestHead } from './readCall';
 import { DEFAULT_REQUEST_LIMITS, type RequestLimits } from './requestLimits';
 import { writeProblem } from './writeProblem';
@@ -75,6 +76,7 @@
       loadGuard.release();
       this.context.metrics.ended(clock.now() - startedAt);
       if (!response.writableFinished) cancellation.cancel();
+      dropRest(request, clock, this.limits.lingerMs);
     });
     void this.handle(request, response, head.val, cancellation, waits);
   }
@@ -156,13 +158,6 @@
   ): void {
     this.context.recorder.begin(true).end(response.destroyed ? 'caller-gone' : 'not-run');
     writeProblem(response, refusal, callId);
-    if (request.complete || !hasBody(request)) return;
-    request.resume();
-    // Closing at once could reset the connection before the caller has read the answer.
-    const { clock } = this.context;
-    const timer = clock.setTimer(clock.now() + this.limits.lingerMs, () => {
-      if (!request.complete) request.socket.destroy();
-    });
-    request.once('close', () => timer.cancel());
+    dropRest(request, this.context.clock, this.limits.lingerMs);
   }
 }
--- a/src/forwarding/relayListener.ts
+++ b/src/forwarding/relayListener.ts
@@ -9,6 +9,7 @@
 import { answerCall } from './answerCall';
 import { type Call } from './call';
 import { Cancellation } from './cancellation';
+import { dropRest } from './dropRest';
 import { FORWARDING_EVENTS } from './events';
 import { type Forwarder } from './forwarder';
 import { type ForwarderContext } from './forwarderContext';
@@ -29,6 +30,7 @@
 
 const HEADER_LIMIT_BYTES = 32 * 1024;
 const IDLE_LIMIT_MS = 60_000;
+const LINGER_MS = 1000;
 
 /** Accepts calls that other hosts relay to this one. */
 export class RelayListener {
@@ -69,6 +71,7 @@
     response.once('close', () => {
       this.context.loadGuard.release();
       if (!response.writableFinished) call.cancellation.cancel();
+      dropRest(request, this.context.clock, LINGER_MS);
     });
     void this.runCall(call, response);
   }
