--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -47,7 +47,7 @@
 }
 
 function makeContext(settings: GatewaySettings, parts: GatewayParts): ForwarderContext {
-  const router = new Router(parts.fleet, parts.clock, parts.random);
+  const router = new Router(parts.fleet, parts.clock, parts.random, settings.policy);
   const loadGuard = new LoadGuard(parts.clock);
   const recorder = new OutcomeRecorder((violation) =>
     parts.events.emit(FORWARDING_EVENTS.outcomeViolated, { violation }),
--- /dev/null
+++ b/src/peer/index.ts
@@ -0,0 +1,34 @@
+export type {
+  AcceptRequest,
+  ClaimKeyReply,
+  ClaimKeyRequest,
+  CommitRequest,
+  FetchSheetRequest,
+  PrepareRequest,
+  ReadRecordReply,
+  RecordedAnswer,
+  ReleaseRequest,
+  ReportClaimsRequest,
+  ReportDeathRequest,
+  ReportedClaim,
+  SettleKeyRequest,
+  SheetChunk,
+  VoteReply,
+  FleetRecord as WireRecord,
+} from './generated/peer';
+export { ClaimState } from './generated/peer';
+export { type PeerError } from './peerError';
+export { type PeerAddress } from './peerAddress';
+export { type Beat, type BeatStatus } from './beat';
+export {
+  type PeerHandler,
+  type PeerMethod,
+  type PeerMethods,
+  type SheetHandler,
+} from './peerMethods';
+export { type PeerTransport } from './peerTransport';
+export { type BeatContext, BeatLink } from './beatLink';
+export { PROTOCOL_VERSION, MINIMUM_PROTOCOL } from './protocolVersion';
+export { GrpcTransport, BEAT_INTERVAL_MS, type GrpcTransportParts } from './grpcTransport';
+export { PEER_METRICS } from './metrics';
+export { PEER_EVENTS } from './events';
