Claim idempotency keys at their homes

Cause: a repeated call with the same Idempotency-Key ran again. A new home also waits for hosts that the new record removed, since they may still run calls. Keys are claimed only when GatewayParts.transport is given.

--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -13,3 +13,4 @@
 export { FORWARDING_METRICS } from './metrics';
 export { ConnectionPools } from './connectionPools';
 export { FORWARDING_EVENTS } from './events';
+export { KeyedCalls } from './keyedCalls';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,18 +4,22 @@
 import {
   CallerListener,
   ConnectionPools,
+  type EntryRun,
   Forwarder,
   type ForwarderContext,
   FORWARDING_EVENTS,
   ForwardingMetrics,
+  KeyedCalls,
   LoadGuard,
   RelayListener,
   type RequestLimits,
 } from '../forwarding';
+import { KeyClaims } from '../idempotency';
 import { Lifecycle } from '../lifecycle';
 import { type DecisionLog, type EventLog } from '../logging';
 import { type MetricsSink, SilentSink } from '../metrics';
 import { OutcomeRecorder } from '../outcomes';
+import { type PeerTransport } from '../peer';
 import { Router } from '../routing';
 import { type Clock, type Random, type Timer } from '../runtime';
 import { type GatewaySettings } from '../settings';
@@ -32,6 +36,8 @@
   readonly fleet: Fleet;
   /** Where metrics go; nowhere when absent. */
   readonly metrics?: MetricsSink;
+  /** Messages to peers; without them, idempotency keys are passed on and not claimed. */
+  readonly transport?: Pick<PeerTransport, 'call' | 'handle'>;
   /** Limits on callers' requests; the usual ones when absent. */
   readonly requestLimits?: RequestLimits;
 }
@@ -89,6 +95,22 @@
   return () => timer.cancel();
 }
 
+/** Runs callers' calls, those with an idempotency key only under a claim. */
+function entryRun(
+  { transport }: GatewayParts,
+  context: ForwarderContext,
+  forwarder: Forwarder,
+  lifecycle: Lifecycle,
+): EntryRun {
+  const run: EntryRun = (call) => forwarder.runEntry(call);
+  if (transport === undefined) return run;
+  const { hostId, fleet, clock } = context;
+  const claims = new KeyClaims({ hostId, fleet, clock, transport });
+  lifecycle.own('key claims', () => claims.close());
+  const keyed = new KeyedCalls(hostId, claims.client, run);
+  return (call) => keyed.run(call);
+}
+
 /** Starts the listeners of one gateway process. */
 export async function startGateway(
   settings: GatewaySettings,
@@ -102,7 +124,7 @@
   const relay = new RelayListener(context, forwarder, parts.events);
   const callers = new CallerListener(
     context,
-    (call) => forwarder.runEntry(call),
+    entryRun(parts, context, forwarder, lifecycle),
     parts.events,
     parts.requestLimits,
   );
--- /dev/null
+++ b/test/idempotency/keyClaims.test.ts
@@ -0,0 +1,210 @@
+import { type Fleet, type FleetView } from '../../src/fleet';
+import { type ClaimRequest, KeyClaims, KeyTable, UNKNOWN_ANSWER } from '../../src/idempotency';
+import { ManualClock, rendezvousChoice } from '../../src/runtime';
+import { MemoryNetwork } from '../support/memoryTransport';
+
+const TIME_LIMIT_MS = 1000;
+const ANSWER = { status: 201, contentType: 'text/plain', body: Buffer.from('done'), whole: true };
+
+class ScriptedFleet implements Fleet {
+  private listener: ((view: FleetView) => void) | null = null;
+
+  private current: FleetView | null = null;
+
+  deadline = Number.POSITIVE_INFINITY;
+
+  setMembers(epoch: number, members: readonly string[]): void {
+    const services = new Map([['dockets', { time_limit_ms: TIME_LIMIT_MS }]]);
+    this.current = { record: { epoch, members }, sheet: { services } } as unknown as FleetView;
+    this.listener?.(this.current);
+  }
+
+  view(): FleetView | null {
+    return this.current;
+  }
+
+  viewDeadline(): number {
+    return this.deadline;
+  }
+
+  onChange(listener: (view: FleetView) => void): () => void {
+    this.listener = listener;
+    return () => {};
+  }
+
+  submit(): never {
+    throw new Error('not used');
+  }
+}
+
+interface TestHost {
+  readonly id: string;
+  readonly fleet: ScriptedFleet;
+  readonly claims: KeyClaims;
+}
+
+const clock = new ManualClock();
+let network: MemoryNetwork;
+let hosts: Map<string, TestHost>;
+
+function startHost(id: string): TestHost {
+  const fleet = new ScriptedFleet();
+  const parts = { hostId: id, fleet, clock, transport: network.transport(id) };
+  const host = { id, fleet, claims: new KeyClaims(parts) };
+  hosts.set(id, host);
+  return host;
+}
+
+async function settleDown(): Promise<void> {
+  for (let turn = 0; turn < 50; turn += 1) await Promise.resolve();
+}
+
+async function passTime(milliseconds: number): Promise<void> {
+  for (let passed = 0; passed < milliseconds; passed += 50) {
+    clock.advanceBy(50);
+    await settleDown();
+  }
+}
+
+function setMembers(epoch: number, members: readonly string[], told = members): void {
+  for (const id of told) hosts.get(id)!.fleet.setMembers(epoch, members);
+}
+
+function homeOf(key: string, members: readonly string[]): string {
+  return rendezvousChoice(`dockets\u0000${key}`, members)!;
+}
+
+function keyWithHome(home: string, members: readonly string[], later = home, next = members) {
+  for (let index = 0; ; index += 1) {
+    const key = `key-${index}`;
+    if (homeOf(key, members) === home && homeOf(key, next) === later) return key;
+  }
+}
+
+function request(claimant: string, key: string, fingerprint = 'POST /dockets'): ClaimRequest {
+  const deadline = clock.now() + TIME_LIMIT_MS;
+  return { service: 'dockets', key, fingerprint, claimant, deadline };
+}
+
+async function claim(host: string, key: string, fingerprint?: string): Promise<string> {
+  const pending = hosts.get(host)!.claims.client.claim(request(host, key, fingerprint));
+  let kind: string | null = null;
+  void pending.then((verdict) => {
+    kind = verdict.kind;
+  });
+  for (let turn = 0; kind === null && turn < 100; turn += 1) await passTime(50);
+  return kind!;
+}
+
+const ALL = ['a', 'b', 'c'];
+
+beforeEach(async () => {
+  network = new MemoryNetwork();
+  hosts = new Map();
+  ALL.forEach(startHost);
+  setMembers(1, ALL);
+  await settleDown();
+});
+
+// Guards against two hosts that run calls with the same key.
+test('a key is granted to one call and its end is told to the others', async () => {
+  const key = keyWithHome('c', ALL);
+  expect(await claim('a', key)).toBe('granted');
+  expect(await claim('b', key)).toBe('in-flight');
+  expect(await claim('a', key)).toBe('in-flight');
+  expect(await claim('b', key, 'POST /other')).toBe('mismatch');
+  await hosts.get('a')!.claims.client.settle(request('a', key), ANSWER);
+  const repeat = await hosts.get('b')!.claims.client.claim(request('b', key));
+  expect(repeat).toEqual({ kind: 'ended', answer: ANSWER });
+});
+
+// Guards against a key that stays taken although its call did not run.
+test('a call that did not run frees its key', async () => {
+  const key = keyWithHome('c', ALL);
+  expect(await claim('a', key)).toBe('granted');
+  await hosts.get('a')!.claims.client.settle(request('a', key), null);
+  expect(await claim('b', key)).toBe('granted');
+});
+
+// Guards against a claim whose lost reply blocks the key, and against one that frees another's key.
+test('a claim whose reply was lost is freed', async () => {
+  const key = keyWithHome('c', ALL);
+  network.lostReplies.add('claimKey');
+  expect(await claim('a', key)).toBe('not-home');
+  network.lostReplies.clear();
+  expect(await claim('b', key)).toBe('in-flight');
+  await passTime(500);
+  expect(await claim('b', key)).toBe('granted');
+  expect(await claim('a', key)).toBe('in-flight');
+});
+
+// Guards against a call that runs although the home of its key cannot be asked.
+test('an unreachable home refuses, and a home past its view deadline grants nothing', async () => {
+  const key = keyWithHome('c', ALL);
+  network.down.add('c');
+  expect(await claim('a', key)).toBe('not-home');
+  network.down.clear();
+  hosts.get('c')!.fleet.deadline = 0;
+  await passTime(6000);
+  expect(await claim('a', key)).toBe('not-home');
+});
+
+// Guards against a new home that does not know of calls under the old one.
+test('a new home learns running and ended claims from the reports', async () => {
+  const running = keyWithHome('c', ALL, 'b', ['a', 'b']);
+  const other = Array.from({ length: 1000 }, (_none, index) => `other-${index}`).find(
+    (key) => homeOf(key, ALL) === 'c' && homeOf(key, ['a', 'b']) === 'b',
+  )!;
+  expect(await claim('a', running)).toBe('granted');
+  expect(await claim('a', other)).toBe('granted');
+  await hosts.get('a')!.claims.client.settle(request('a', other), ANSWER);
+  setMembers(2, ['a', 'b'], ['a', 'b', 'c']);
+  await settleDown();
+  expect(await claim('b', running)).toBe('in-flight');
+  expect(await claim('b', other)).toBe('ended');
+});
+
+// Guards against a new home that grants keys while a removed host may still run their calls.
+test('unknown keys are refused until a silent host can no longer run calls', async () => {
+  const moved = keyWithHome('c', ALL, 'b', ['a', 'b']);
+  const kept = keyWithHome('b', ALL, 'b', ['a', 'b']);
+  network.down.add('c');
+  setMembers(2, ['a', 'b']);
+  await settleDown();
+  expect(await claim('b', kept)).toBe('granted');
+  expect(await claim('a', moved)).toBe('not-home');
+  await passTime(2000 + TIME_LIMIT_MS);
+  expect(await claim('a', moved)).toBe('granted');
+});
+
+// Guards against a home that missed epochs and takes its old knowledge for complete.
+test('a home that missed an epoch waits for the reports', async () => {
+  const key = keyWithHome('c', ALL, 'b', ['a', 'b']);
+  network.down.add('c');
+  setMembers(2, ['a', 'b']);
+  await passTime(2000 + TIME_LIMIT_MS);
+  expect(await claim('b', key)).toBe('granted');
+  setMembers(3, ALL, ['c']);
+  expect(hosts.get('c')!.claims.client).toBeDefined();
+  expect(await claim('c', key)).toBe('not-home');
+  network.down.clear();
+  setMembers(3, ALL, ['a', 'b']);
+  await passTime(200);
+  expect(['in-flight', 'ended']).toContain(await claim('c', key));
+});
+
+// Guards against a table that grows without bound, or forgets a key that it must keep.
+test('the table refuses new keys when it is full and forgets keys after 10 minutes', () => {
+  const time = new ManualClock();
+  const table = new KeyTable(time, 2);
+  const make = (key: string) => ({ ...request('a', key), deadline: time.now() + 100 });
+  expect(table.claim(make('1'), true).kind).toBe('granted');
+  expect(table.claim(make('2'), true).kind).toBe('granted');
+  expect(table.claim(make('3'), true).kind).toBe('full');
+  time.advanceBy(1200);
+  const late = table.claim({ ...make('1'), claimant: 'b' }, true);
+  expect(late).toEqual({ kind: 'ended', answer: UNKNOWN_ANSWER });
+  time.advanceBy(10 * 60 * 1000);
+  expect(table.claim(make('3'), true).kind).toBe('granted');
+  expect(table.size()).toBe(1);
+});
--- a/test/support/localFleet.ts
+++ b/test/support/localFleet.ts
@@ -6,6 +6,7 @@
 import { type RequestLimits } from '../../src/forwarding';
 import { BufferedWriter, DecisionLog, EventLog } from '../../src/logging';
 import { startGateway, type Gateway, type GatewayParts } from '../../src/gateway';
+import { type PeerTransport } from '../../src/peer';
 import { SeededRandom, SystemClock } from '../../src/runtime';
 import { GATEWAY_SETTINGS, readSettings } from '../../src/settings';
 import { parseSheet, type Sheet } from '../../src/sheet';
@@ -24,13 +25,15 @@
   readonly hosts?: number;
   readonly services: readonly SheetService[];
   readonly requestLimits?: RequestLimits;
+  /** Messages between the hosts; without them keys are not claimed. */
+  readonly transport?: (hostId: string) => Pick<PeerTransport, 'call' | 'handle'>;
   /** Rewrites the sheet, for instance to add operations. */
   readonly sheet?: (text: string) => string;
   /** Wraps the fleet of a host, for instance to let its view expire. */
   readonly fleet?: (hostId: string, fleet: Fleet) => Fleet;
 }
 
-function partsFor(fleet: Fleet, hostId: string, requestLimits?: RequestLimits): GatewayParts {
+function partsFor(fleet: Fleet, hostId: string, options: LocalFleetOptions): GatewayParts {
   const nowhere = new Writable({ write: (_chunk, _encoding, done) => done() });
   const logger = Logger.createLogger({ name: 'test', streams: [] });
   return {
@@ -39,7 +42,8 @@
     events: new EventLog(logger),
     decisions: new DecisionLog(new BufferedWriter(nowhere), 'test', hostId, () => new Date()),
     fleet,
-    requestLimits,
+    requestLimits: options.requestLimits,
+    transport: options.transport?.(hostId),
   };
 }
 
@@ -69,9 +73,7 @@
     }).unwrap().values;
     const fixed = new FixedFleet(host.id, sheet);
     const fleet = options.fleet?.(host.id, fixed) ?? fixed;
-    gateways.push(
-      (await startGateway(settings, partsFor(fleet, host.id, options.requestLimits))).unwrap(),
-    );
+    gateways.push((await startGateway(settings, partsFor(fleet, host.id, options))).unwrap());
   }
   return {
     gateways,
