Find and refuse calls that crash targets

Cause: a call that crashes every target could be repeated by its caller without limit. Change: src/suspects with fingerprints, death evidence and reports to all hosts; suspects run one a target; a second death refuses only when the call ran as the target's only suspect, so that a zone failure refuses no popular lookup (new field `isolated` of ReportDeathRequest).

--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -1,7 +1,7 @@
 import { Err } from 'ts-results';
 
 import { notRun } from '../outcomes';
-import { type Choice } from '../routing';
+import { type Choice, type Slot } from '../routing';
 
 import { attemptCall } from './attempt';
 import { type Call } from './call';
@@ -13,6 +13,7 @@
 import { RepeatableRun, type RepeatContext } from './repeatableRun';
 import { RunningTargets } from './runningTargets';
 import { ServiceHistory } from './serviceHistory';
+import { SuspectPlaces } from './suspectPlaces';
 
 // A level of a chain that adds 1% keeps the calls of 7 levels within 1.2 times the first.
 const DEEP_REPEAT_COST = 10;
@@ -25,6 +26,8 @@
 
   private readonly running = new RunningTargets();
 
+  private readonly suspectPlaces = new SuspectPlaces();
+
   constructor(private readonly context: ForwarderContext) {
     this.placer = new Placer({
       router: context.router,
@@ -50,7 +53,7 @@
     if (!this.context.router.viewIsCurrent()) {
       return Err({ outcome: notRun('view-expired', 'this host is cut off'), target: null });
     }
-    const wanted = traits.idempotent ? this.running.traitsFor(traits) : traits;
+    const wanted = this.suspectPlaces.traitsFor(this.running.traitsFor(traits));
     const slot = await this.context.router.pool(traits.service).acquire(wanted);
     if (slot.err) return Err({ outcome: slot.val, target: null });
     const { target, reason, candidates } = slot.val;
@@ -59,9 +62,21 @@
       return Err({ outcome: notRun('deadline', 'the call was cancelled'), target: null });
     }
     this.log(call, this.context.hostId, target.target, cause, reason, candidates);
-    this.running.begin(traits.callId, target.target);
-    const placed = await attemptCall(call, slot.val, this.context);
-    this.running.end(traits.callId, target.target);
+    return this.runOn(call, slot.val);
+  }
+
+  private async runOn(call: Call, slot: Slot): Promise<Placed> {
+    const { callId, suspect } = call.traits;
+    const { target } = slot.target;
+    if (suspect !== null && !this.suspectPlaces.begin(target)) {
+      slot.finish({ kind: 'not-sent' });
+      const outcome = notRun('overloaded', 'another suspect runs on each free target');
+      return Err({ outcome, target });
+    }
+    this.running.begin(callId, target);
+    const placed = await attemptCall(call, slot, this.context);
+    this.running.end(callId, target);
+    if (suspect !== null) this.suspectPlaces.end(target);
     return placed;
   }
 
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -14,3 +14,4 @@
 export { ConnectionPools } from './connectionPools';
 export { FORWARDING_EVENTS } from './events';
 export { KeyedCalls } from './keyedCalls';
+export { SuspectCalls } from './suspectCalls';
--- a/src/forwarding/relayListener.ts
+++ b/src/forwarding/relayListener.ts
@@ -5,9 +5,11 @@
 
 import { type EventLog } from '../logging';
 import { notRun, type NotRun, OutcomeRecorder, outcomeUnknown } from '../outcomes';
+import { type CallTraits } from '../routing';
 
 import { answerCall } from './answerCall';
 import { type Call } from './call';
+import { type CallBody } from './callBody';
 import { Cancellation } from './cancellation';
 import { dropRest } from './dropRest';
 import { FORWARDING_EVENTS } from './events';
@@ -24,8 +26,7 @@
 import { writeOwnerState } from './ownerState';
 import { type Placed } from './placed';
 import { readRelayedTraits } from './readRelayedTraits';
-import { hasBody } from './readBody';
-import { StreamedBody } from './streamedBody';
+import { readBody } from './readBody';
 import { writeProblem } from './writeProblem';
 
 const HEADER_LIMIT_BYTES = 32 * 1024;
@@ -61,30 +62,46 @@
       writeProblem(response, notRun('bad-request', 'the peer secret is missing or wrong'), callId);
       return;
     }
-    const call = this.readCall(request, callId);
-    const refusal = this.admit(call);
+    const traits = readRelayedTraits(request.headers, callId, this.context.clock);
+    const refusal = this.admit(traits);
     if (refusal !== null) {
-      writeProblem(response, refusal, callId, this.stateHeaders(call));
-      call.record.end('not-run');
+      writeProblem(response, refusal, callId, this.stateHeaders(traits.service));
       return;
     }
+    const cancellation = new Cancellation();
     response.once('close', () => {
       this.context.loadGuard.release();
-      if (!response.writableFinished) call.cancellation.cancel();
+      if (!response.writableFinished) cancellation.cancel();
       dropRest(request, this.context.clock, LINGER_MS);
     });
-    void this.runCall(call, response);
+    void this.handle(request, response, traits, cancellation);
+  }
+
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    traits: CallTraits,
+    cancellation: Cancellation,
+  ): Promise<void> {
+    const limit = Number.POSITIVE_INFINITY;
+    const read = readBody(request, limit, this.context.clock, traits.deadline);
+    const body = read instanceof Promise ? await read : read;
+    if (body.err) {
+      writeProblem(response, body.val, traits.callId, this.stateHeaders(traits.service));
+      return;
+    }
+    await this.runCall(this.makeCall(request, traits, body.val, cancellation), response);
   }
 
-  private admit(call: Call): NotRun | null {
+  private admit(traits: CallTraits): NotRun | null {
     const view = this.context.fleet.view();
     if (view === null || !this.context.router.viewIsCurrent()) {
       return notRun('view-expired', 'the owner is cut off');
     }
-    if (!view.sheet.services.has(call.traits.service)) {
+    if (!view.sheet.services.has(traits.service)) {
       return notRun('no-usable-target', 'the owner does not know the service');
     }
-    return this.context.loadGuard.admit(view.sheet, call.traits.class);
+    return this.context.loadGuard.admit(view.sheet, traits.class);
   }
 
   private async runCall(call: Call, response: ServerResponse): Promise<void> {
@@ -102,14 +119,13 @@
     }
   }
 
-  private stateHeaders(call: Call): HeaderMap {
-    const { service } = call.traits;
+  private stateHeaders(service: string): HeaderMap {
     if (!this.context.fleet.view()?.sheet.services.has(service)) return {};
     return { [OWNER_STATE_HEADER]: writeOwnerState(this.context.router.pool(service).state()) };
   }
 
   private answerHeaders(call: Call, placed: Placed): HeaderMap {
-    const headers = this.stateHeaders(call);
+    const headers = this.stateHeaders(call.traits.service);
     const { target } = placed.val;
     if (target !== null) headers[TARGET_HEADER] = target;
     return headers;
@@ -120,18 +136,20 @@
     return given.length === this.expected.length && timingSafeEqual(given, this.expected);
   }
 
-  private readCall(request: IncomingMessage, callId: string): Call {
-    const traits = readRelayedTraits(request.headers, callId, this.context.clock);
+  private makeCall(
+    request: IncomingMessage,
+    traits: CallTraits,
+    body: CallBody,
+    cancellation: Cancellation,
+  ): Call {
     return {
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       headers: endToEndHeaders(request.headers),
-      body: hasBody(request)
-        ? { kind: 'stream', stream: new StreamedBody(request) }
-        : { kind: 'none' },
+      body,
       baggage: String(request.headers.baggage ?? ''),
       depth: 0,
-      cancellation: new Cancellation(),
+      cancellation,
       record: this.recorder.begin(traits.idempotent),
       traits,
     };
--- /dev/null
+++ b/src/forwarding/suspectCalls.ts
@@ -0,0 +1,58 @@
+import { Err } from 'ts-results';
+
+import { notRun } from '../outcomes';
+import { type CallIdentity, fingerprintOf, type Suspects } from '../suspects';
+
+import { type AttemptObserver } from './attemptObserver';
+import { type Call } from './call';
+import { type EntryRun } from './entryRun';
+import { type Placed } from './placed';
+
+function identityOf(call: Call): CallIdentity {
+  const key = call.headers['idempotency-key'];
+  return {
+    service: call.traits.service,
+    method: call.method,
+    path: call.path,
+    key: typeof key === 'string' ? key : null,
+    body: call.body.kind === 'buffered' ? call.body.bytes : null,
+  };
+}
+
+/** Refuses calls that crash targets, and marks those that are suspected of it. */
+export class SuspectCalls {
+  /** Tells the search for crashing calls what attempts show. */
+  readonly observer: AttemptObserver;
+
+  constructor(private readonly suspects: Suspects) {
+    const { watch } = suspects;
+    this.observer = {
+      unreachable: (target) => watch.unreachable(target),
+      answered: (target, instance) => watch.answered(target, instance),
+      lost: (call, target) => {
+        const identity = identityOf(call);
+        watch.lost({
+          service: identity.service,
+          method: identity.method,
+          path: identity.path,
+          fingerprint: fingerprintOf(identity),
+          target,
+          callId: call.traits.callId,
+          isolated: call.traits.suspect !== null,
+        });
+      },
+    };
+  }
+
+  /** Runs a call by `next` unless it is known to crash targets. */
+  run(call: Call, next: EntryRun): Promise<Placed> {
+    if (this.suspects.isEmpty()) return next(call);
+    const suspicion = this.suspects.check(identityOf(call));
+    if (suspicion === null) return next(call);
+    if (suspicion.refused) {
+      const detail = 'targets that ran this call died; it is refused for now';
+      return Promise.resolve(Err({ outcome: notRun('crashes-targets', detail), target: null }));
+    }
+    return next({ ...call, traits: { ...call.traits, suspect: suspicion.fingerprint } });
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
   LoadGuard,
   RelayListener,
   type RequestLimits,
+  SuspectCalls,
 } from '../forwarding';
 import { KeyClaims } from '../idempotency';
 import { Lifecycle } from '../lifecycle';
@@ -23,6 +24,7 @@
 import { Router } from '../routing';
 import { type Clock, type Random, type Timer } from '../runtime';
 import { type GatewaySettings } from '../settings';
+import { Suspects } from '../suspects';
 
 import { GATEWAY_EVENTS } from './events';
 import { listen, type ListenError } from './listen';
@@ -52,7 +54,11 @@
   close(): Promise<void>;
 }
 
-function makeContext(settings: GatewaySettings, parts: GatewayParts): ForwarderContext {
+function makeContext(
+  settings: GatewaySettings,
+  parts: GatewayParts,
+  suspects: SuspectCalls,
+): ForwarderContext {
   const router = new Router(parts.fleet, parts.clock, parts.random, settings.policy);
   const loadGuard = new LoadGuard(parts.clock);
   const recorder = new OutcomeRecorder((violation) =>
@@ -62,7 +68,7 @@
     loadGuard,
     recorder,
     metrics: new ForwardingMetrics(recorder, loadGuard, parts.metrics ?? new SilentSink()),
-    observer: { lost: () => {}, unreachable: () => {}, answered: () => {} },
+    observer: suspects.observer,
     hostId: settings['host-id'],
     fleet: parts.fleet,
     router,
@@ -99,10 +105,11 @@
 function entryRun(
   { transport }: GatewayParts,
   context: ForwarderContext,
+  suspects: SuspectCalls,
   forwarder: Forwarder,
   lifecycle: Lifecycle,
 ): EntryRun {
-  const run: EntryRun = (call) => forwarder.runEntry(call);
+  const run: EntryRun = (call) => suspects.run(call, (checked) => forwarder.runEntry(checked));
   if (transport === undefined) return run;
   const { hostId, fleet, clock } = context;
   const claims = new KeyClaims({ hostId, fleet, clock, transport });
@@ -117,14 +124,23 @@
   parts: GatewayParts,
 ): Promise<Result<Gateway, ListenError>> {
   const lifecycle = new Lifecycle();
-  const context = makeContext(settings, parts);
+  const suspects = new SuspectCalls(
+    new Suspects({
+      hostId: settings['host-id'],
+      fleet: parts.fleet,
+      clock: parts.clock,
+      events: parts.events,
+      transport: parts.transport ?? null,
+    }),
+  );
+  const context = makeContext(settings, parts, suspects);
   lifecycle.own('target connections', () => context.targetPools.close());
   lifecycle.own('relay connections', () => context.relay.pools.close());
   const forwarder = new Forwarder(context);
   const relay = new RelayListener(context, forwarder, parts.events);
   const callers = new CallerListener(
     context,
-    entryRun(parts, context, forwarder, lifecycle),
+    entryRun(parts, context, suspects, forwarder, lifecycle),
     parts.events,
     parts.requestLimits,
   );
--- a/test/support/rawTarget.ts
+++ b/test/support/rawTarget.ts
@@ -33,9 +33,9 @@
     });
   }
 
-  async start(): Promise<number> {
+  async start(port = 0): Promise<number> {
     await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
+      this.server.listen(port, '127.0.0.1', resolve);
     });
     return (this.server.address() as AddressInfo).port;
   }
