--- a/src/fleet/establishment.ts
+++ b/src/fleet/establishment.ts
@@ -5,7 +5,7 @@
 import { type FleetPeers } from './fleetPeers';
 import { type FleetRecord } from './fleetRecord';
 import { gather } from './gather';
-import { majorityOf, votersOf } from './quorum';
+import { majorityOf } from './quorum';
 import { SETTLING_MS, VIEW_LIFETIME_MS } from './timing';
 import { type RecordState } from './vote';
 
@@ -17,6 +17,9 @@
   readonly peers: FleetPeers;
   /** The sheet in force as far as it is known: that of the record, or the one given at start. */
   readonly sheet: () => Sheet;
+  /** Hosts and voters of the region in that sheet. */
+  readonly hosts: () => readonly string[];
+  readonly voters: () => readonly string[];
   readonly adopt: (record: FleetRecord) => Promise<number>;
 }
 
@@ -43,10 +46,10 @@
   }
 
   private async attempt(): Promise<boolean> {
-    const { acceptor, hostId, sheet } = this.context;
+    const { acceptor, hostId, hosts, sheet } = this.context;
     const basis = sheet();
-    const voters = votersOf(basis);
-    const states = await this.read([...basis.hosts.keys()].filter((host) => host !== hostId));
+    const voters = this.context.voters();
+    const states = await this.read(hosts().filter((host) => host !== hostId));
     if (!(await this.adoptHighest(states))) return false;
     // A record may name other voters; they are asked in the next round.
     if (sheet().fingerprint !== basis.fingerprint) return false;
--- a/src/fleet/handoverSource.ts
+++ b/src/fleet/handoverSource.ts
@@ -1,6 +1,6 @@
 /** What the owner of a target knows when it stops sending calls to it. */
 export interface ReleasedState {
-  /** Calls sent, or holding a slot, that have not ended. */
+  /** Calls sent, or holding a slot, that have not ended; those inherited and reserved included. */
   readonly callsInFlight: number;
   /** Monotonic time by which the last of these calls must have ended; 0 when there is none. */
   readonly lastDeadline: number;
--- a/src/fleet/membership.ts
+++ b/src/fleet/membership.ts
@@ -1,5 +1,3 @@
-import { type Sheet } from '../sheet';
-
 import { type Contacts } from './contacts';
 import { type FleetRecord } from './fleetRecord';
 import { SILENCE_MS } from './timing';
@@ -17,7 +15,8 @@
   readonly hostId: string;
   readonly leaving: boolean;
   readonly record: FleetRecord | null;
-  readonly sheet: Sheet;
+  /** Hosts of the region that the sheet in force lists. */
+  readonly hosts: readonly string[];
   readonly contacts: Contacts;
   readonly now: number;
 }
@@ -45,10 +44,8 @@
   const current = basis.record?.members ?? [];
   const silentHosts = current.filter((host) => isSilent(basis, host));
   const leaving = current.filter((host) => isLeaving(basis, host) && !silentHosts.includes(host));
-  const joining = [...basis.sheet.hosts.keys()].filter(
-    (host) => !current.includes(host) && mayJoin(basis, host),
-  );
-  const unlisted = current.filter((host) => !basis.sheet.hosts.has(host));
+  const joining = basis.hosts.filter((host) => !current.includes(host) && mayJoin(basis, host));
+  const unlisted = current.filter((host) => !basis.hosts.includes(host));
   const removed = new Set([...silentHosts, ...leaving, ...unlisted]);
   if (removed.size + joining.length === 0) return null;
   const members = [...current.filter((host) => !removed.has(host)), ...joining].sort();
@@ -63,10 +60,10 @@
 /** Place of this host in the order in which live hosts propose automatic changes; 0 is first. */
 export function proposerRank(basis: MembershipBasis): number {
   const members = basis.record?.members ?? [];
-  const candidates = (members.length > 0 ? members : [...basis.sheet.hosts.keys()]).filter(
+  const candidates = (members.length > 0 ? members : basis.hosts).filter(
     (host) =>
       host === basis.hostId || (basis.contacts.isEstablished(host) && !isSilent(basis, host)),
   );
-  const rank = candidates.sort().indexOf(basis.hostId);
+  const rank = [...candidates].sort().indexOf(basis.hostId);
   return rank < 0 ? candidates.length : rank;
 }
--- a/src/fleet/replica.ts
+++ b/src/fleet/replica.ts
@@ -12,7 +12,7 @@
 import { Handover } from './handover';
 import { groupOwners } from './ownership';
 import { peerAddress } from './peerAddresses';
-import { votersOf } from './quorum';
+import { regionHosts, votersOf } from './quorum';
 import { RecordHistory } from './recordHistory';
 import { ReleaseInbox } from './releaseInbox';
 import { ReleaseSender } from './releaseSender';
@@ -74,10 +74,19 @@
     return this.state?.sheet ?? this.parts.startSheet;
   }
 
+  voters(): readonly string[] {
+    return votersOf(this.sheet(), this.parts.zone);
+  }
+
+  /** Ids of all hosts of the region. */
+  hosts(): readonly string[] {
+    return [...regionHosts(this.sheet(), this.parts.zone).keys()];
+  }
+
   viewDeadline(): number {
     const { acceptor, contacts, parts } = this;
     if (!acceptor.established || this.view === null) return Number.NEGATIVE_INFINITY;
-    return viewDeadline(votersOf(this.sheet()), contacts, {
+    return viewDeadline(this.voters(), contacts, {
       hostId: parts.hostId,
       now: parts.clock.now(),
       acceptedAt: acceptor.accepted === null ? null : acceptor.acceptedAt,
@@ -151,13 +160,15 @@
       this.proposedSheet = sheet;
       this.connect();
     }
-    return votersOf(sheet);
+    return votersOf(sheet, this.parts.zone);
   }
 
   /** Keeps heartbeats with the hosts of the sheet in force and of a proposed one. */
   connect(): void {
     const sheets = [this.sheet(), ...(this.proposedSheet === null ? [] : [this.proposedSheet])];
-    const hosts = new Map(sheets.reverse().flatMap((sheet) => [...sheet.hosts]));
+    const hosts = new Map(
+      sheets.reverse().flatMap((sheet) => [...regionHosts(sheet, this.parts.zone)]),
+    );
     hosts.delete(this.parts.hostId);
     this.parts.transport.setPeers([...hosts.values()].map(peerAddress));
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -28,6 +28,7 @@
 
 import { GATEWAY_EVENTS } from './events';
 import { listen, type ListenError } from './listen';
+import { type RouterHandover } from './routerHandover';
 
 /** What a gateway is made of besides its settings. */
 export interface GatewayParts {
@@ -42,6 +43,8 @@
   readonly transport?: Pick<PeerTransport, 'call' | 'handle'>;
   /** Limits on callers' requests; the usual ones when absent. */
   readonly requestLimits?: RequestLimits;
+  /** Learns the state of released targets from routing; absent for a fleet without handover. */
+  readonly handover?: RouterHandover;
 }
 
 /** A running gateway. */
@@ -64,6 +67,8 @@
   const recorder = new OutcomeRecorder((violation) =>
     parts.events.emit(FORWARDING_EVENTS.outcomeViolated, { violation }),
   );
+  parts.fleet.onChange((view) => router.applyView(view));
+  parts.handover?.follow(router);
   return {
     loadGuard,
     recorder,
