--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,21 +4,27 @@
 import {
   CallerListener,
   ConnectionPools,
+  type EntryRun,
   Forwarder,
   type ForwarderContext,
   FORWARDING_EVENTS,
   ForwardingMetrics,
+  KeyedCalls,
   LoadGuard,
   RelayListener,
   type RequestLimits,
+  SuspectCalls,
 } from '../forwarding';
+import { KeyClaims } from '../idempotency';
 import { Lifecycle } from '../lifecycle';
 import { type DecisionLog, type EventLog } from '../logging';
 import { type MetricsSink, SilentSink } from '../metrics';
 import { OutcomeRecorder } from '../outcomes';
+import { type PeerTransport } from '../peer';
 import { Router } from '../routing';
 import { type Clock, type Random, type Timer } from '../runtime';
 import { type GatewaySettings } from '../settings';
+import { Suspects } from '../suspects';
 
 import { GATEWAY_EVENTS } from './events';
 import { listen, type ListenError } from './listen';
@@ -33,6 +39,8 @@
   readonly fleet: Fleet;
   /** Where metrics go; nowhere when absent. */
   readonly metrics?: MetricsSink;
+  /** Messages to peers; without them, idempotency keys are passed on and not claimed. */
+  readonly transport?: Pick<PeerTransport, 'call' | 'handle'>;
   /** Limits on callers' requests; the usual ones when absent. */
   readonly requestLimits?: RequestLimits;
   /** Learns the state of released targets from routing; absent for a fleet without handover. */
@@ -49,7 +57,11 @@
   close(): Promise<void>;
 }
 
-function makeContext(settings: GatewaySettings, parts: GatewayParts): ForwarderContext {
+function makeContext(
+  settings: GatewaySettings,
+  parts: GatewayParts,
+  suspects: SuspectCalls,
+): ForwarderContext {
   const router = new Router(parts.fleet, parts.clock, parts.random, settings.policy);
   const loadGuard = new LoadGuard(parts.clock);
   const recorder = new OutcomeRecorder((violation) =>
@@ -61,7 +73,7 @@
     loadGuard,
     recorder,
     metrics: new ForwardingMetrics(recorder, loadGuard, parts.metrics ?? new SilentSink()),
-    observer: { lost: () => {}, unreachable: () => {}, answered: () => {} },
+    observer: suspects.observer,
     hostId: settings['host-id'],
     fleet: parts.fleet,
     router,
@@ -94,20 +106,46 @@
   return () => timer.cancel();
 }
 
+/** Runs callers' calls, those with an idempotency key only under a claim. */
+function entryRun(
+  { transport }: GatewayParts,
+  context: ForwarderContext,
+  suspects: SuspectCalls,
+  forwarder: Forwarder,
+  lifecycle: Lifecycle,
+): EntryRun {
+  const run: EntryRun = (call) => suspects.run(call, (checked) => forwarder.runEntry(checked));
+  if (transport === undefined) return run;
+  const { hostId, fleet, clock } = context;
+  const claims = new KeyClaims({ hostId, fleet, clock, transport });
+  lifecycle.own('key claims', () => claims.close());
+  const keyed = new KeyedCalls(hostId, claims.client, run);
+  return (call) => keyed.run(call);
+}
+
 /** Starts the listeners of one gateway process. */
 export async function startGateway(
   settings: GatewaySettings,
   parts: GatewayParts,
 ): Promise<Result<Gateway, ListenError>> {
   const lifecycle = new Lifecycle();
-  const context = makeContext(settings, parts);
+  const suspects = new SuspectCalls(
+    new Suspects({
+      hostId: settings['host-id'],
+      fleet: parts.fleet,
+      clock: parts.clock,
+      events: parts.events,
+      transport: parts.transport ?? null,
+    }),
+  );
+  const context = makeContext(settings, parts, suspects);
   lifecycle.own('target connections', () => context.targetPools.close());
   lifecycle.own('relay connections', () => context.relay.pools.close());
   const forwarder = new Forwarder(context);
   const relay = new RelayListener(context, forwarder, parts.events);
   const callers = new CallerListener(
     context,
-    (call) => forwarder.runEntry(call),
+    entryRun(parts, context, suspects, forwarder, lifecycle),
     parts.events,
     parts.requestLimits,
   );
