--- a/measure/harness/loadGenerator.ts
+++ b/measure/harness/loadGenerator.ts
@@ -4,12 +4,14 @@
 import { type CallOutcome, outcomeOfAnswer } from './callOutcome';
 import { LatencyRecorder } from './latencySummary';
 import { type CallReport, type KindResult, type LoadResult } from './loadResult';
-import { type LoadPlan } from './plan';
+import { type CallKind, type LoadPlan } from './plan';
 
 // Below this distance to the next arrival the generator polls instead of sleeping, since Node's
 // timers are late by up to a millisecond.
 const POLL_WITHIN_MS = 3;
 
+type Headers = Record<string, string>;
+
 interface Tally {
   readonly outcomes: Record<CallOutcome, number>;
   readonly latency: LatencyRecorder;
@@ -54,14 +56,24 @@
   private async send(arrival: Arrival, scheduled: number): Promise<void> {
     const { base, kind, number } = arrival;
     const unique = `${this.plan.runId}-${number}`;
-    const headers: Record<string, string> = {
+    const headers: Headers = {
       'limpetknot-timeout-ms': String(this.plan.timeoutMs),
       ...(kind.keyed ? { 'idempotency-key': unique } : {}),
     };
     const path = `${kind.path}/${unique}`;
-    let outcome: CallOutcome = 'broken';
+    const first = await this.attempt(`${base}${path}`, kind, headers);
+    this.record(arrival, first, performance.now() - scheduled);
+    const outcome = this.repeats(kind, first)
+      ? await this.repeat(`${base}${path}`, kind, headers, first)
+      : first;
+    // Targets see the path without its first segment, the service.
+    const key = kind.keyed ? unique : path.slice(path.indexOf('/', 1));
+    this.reports.push([key, outcome, kind.name]);
+  }
+
+  private async attempt(url: string, kind: CallKind, headers: Headers): Promise<CallOutcome> {
     try {
-      const answer = await request(`${base}${path}`, {
+      const answer = await request(url, {
         dispatcher: this.agent,
         method: kind.method,
         headers,
@@ -69,14 +81,29 @@
       });
       const body = await answer.body.text();
       const type = String(answer.headers['content-type'] ?? '');
-      outcome = outcomeOfAnswer(answer.statusCode, type, body);
+      return outcomeOfAnswer(answer.statusCode, type, body);
     } catch {
-      outcome = 'broken';
+      return 'broken';
     }
-    this.record(arrival, outcome, performance.now() - scheduled);
-    // Targets see the path without its first segment, the service.
-    const key = kind.keyed ? unique : path.slice(path.indexOf('/', 1));
-    this.reports.push([key, outcome, kind.name]);
+  }
+
+  private repeats(kind: CallKind, outcome: CallOutcome): boolean {
+    const isUnknown = outcome === 'unknown' || outcome === 'broken';
+    return isUnknown && kind.keyed && this.plan.repeatUnknownAfterMs !== undefined;
+  }
+
+  /** Repeats a call with its key; only a success changes what the caller knows. */
+  private async repeat(
+    url: string,
+    kind: CallKind,
+    headers: Headers,
+    first: CallOutcome,
+  ): Promise<CallOutcome> {
+    await new Promise((resolve) => {
+      setTimeout(resolve, this.plan.repeatUnknownAfterMs);
+    });
+    const second = await this.attempt(url, kind, headers);
+    return second === 'answered' ? second : first;
   }
 
   private record({ phase, kind }: Arrival, outcome: CallOutcome, milliseconds: number): void {
--- a/measure/harness/plan.ts
+++ b/measure/harness/plan.ts
@@ -26,4 +26,6 @@
   readonly phases: readonly Phase[];
   readonly kinds: readonly CallKind[];
   readonly timeoutMs: number;
+  /** Callers repeat a keyed call of unknown outcome once, after this time; never when left out. */
+  readonly repeatUnknownAfterMs?: number;
 }
