Measurements warm up at low load and show how late the generator was

Cause: with cold targets, a start at 60% load measured the queue of that start; on a busy machine nothing showed that the generator itself was late. Change: 3 s (and the cold period) at 10% load, then 3 s at the measured load; latestStartMs in each row; service time 80 ms, which halves the call rate. Result: not measured yet. Conclusion: rows with a high latestStartMs are to be discarded.

--- a/measure/harness/faultRun.ts
+++ b/measure/harness/faultRun.ts
@@ -7,8 +7,8 @@
 import { runGenerator } from './runGenerator';
 import { faultTargetSettings, MAIN_SERVICE, rateFor } from './serviceLoad';
 import { TestFleet } from './testFleet';
+import { lengthOf, WARM_UP, warmUpPhases } from './warmUp';
 
-const WARM_UP_SECONDS = 3;
 const CALL_TIMEOUT_MS = 2000;
 const ZONES = ['zone-1', 'zone-2', 'zone-3'];
 
@@ -68,11 +68,11 @@
     const phases = phasesAt?.(rate) ?? [
       { name: 'run', seconds, callsPerSecond: rate(options.load) },
     ];
-    const warmUp = { name: 'warm-up', seconds: WARM_UP_SECONDS, callsPerSecond: rate(0.6) };
+    const warmUp = warmUpPhases(rate, options.load, fault.coldMs ?? 0);
     const starting = new Promise<void>((resolve, reject) => {
       setTimeout(
         () => fault.apply(fleet, `${service.name}-1`).then(resolve, reject),
-        WARM_UP_SECONDS * 1000,
+        lengthOf(warmUp),
       );
     });
     const [result] = await Promise.all([
@@ -80,7 +80,7 @@
         seed,
         runId: `${policy}-${fault.name}`,
         bases: fleet.bases,
-        phases: [warmUp, ...phases],
+        phases: [...warmUp, ...phases],
         kinds: kindsOf(service.name),
         timeoutMs: CALL_TIMEOUT_MS,
       }),
@@ -90,7 +90,7 @@
       key.startsWith('/lookups'),
     );
     return Object.entries(result.phases)
-      .filter(([phase]) => phase !== 'warm-up')
+      .filter(([phase]) => phase !== WARM_UP)
       .flatMap(([phase, kinds]) =>
         Object.entries(kinds).map(([kind, measured]) => ({
           policy,
@@ -99,6 +99,7 @@
           kind,
           ...kindRow(measured),
           ...judgement,
+          latestStartMs: Math.round(result.latestStart),
         })),
       );
   } finally {
--- a/measure/harness/serviceLoad.ts
+++ b/measure/harness/serviceLoad.ts
@@ -2,7 +2,7 @@
 
 // Median and spread of the service time in fault measurements: long enough that one machine
 // carries the call rate of a whole service, short enough for thousands of calls in a run.
-const SERVICE_TIME_MS = 40;
+const SERVICE_TIME_MS = 80;
 const SPREAD = 0.3;
 
 /** Settings of the targets in fault measurements, for a service with the given slots. */
--- a/measure/measureOptions.ts
+++ b/measure/measureOptions.ts
@@ -6,7 +6,7 @@
   json: z.boolean().default(false),
   seed: z.coerce.number().int().min(1).default(1),
   /** Length of one measured stretch. */
-  seconds: z.coerce.number().positive().default(6),
+  seconds: z.coerce.number().positive().default(10),
   /** Policies to compare, separated by commas. */
   policy: z
     .string()
--- a/measure/measurements/addedLatency.ts
+++ b/measure/measurements/addedLatency.ts
@@ -75,7 +75,7 @@
     processorMicroseconds: over((stretch) => stretch.processorMicroseconds),
     residentMebibytes: over((stretch) => stretch.residentMebibytes),
     notAnswered: stretches.reduce((sum, { notAnswered }) => sum + notAnswered, 0),
-    latestStartMs: Math.max(...stretches.map(({ latestStart }) => latestStart)),
+    latestStartMs: Math.round(Math.max(...stretches.map(({ latestStart }) => latestStart))),
   };
 }
 
--- a/measure/measurements/overloadPriority.ts
+++ b/measure/measurements/overloadPriority.ts
@@ -3,11 +3,11 @@
 import { runGenerator } from '../harness/runGenerator';
 import { faultTargetSettings, MAIN_SERVICE, rateFor } from '../harness/serviceLoad';
 import { TestFleet } from '../harness/testFleet';
+import { warmUpPhases } from '../harness/warmUp';
 import { type MeasureOptions } from '../measureOptions';
 import { type Measurement, type ResultRow } from '../measurement';
 
 const ZONES = ['zone-1', 'zone-2', 'zone-3'];
-const WARM_UP_SECONDS = 3;
 // Flood watch alone fits: it takes up less than the slots that the sheet reserves for it (30%).
 const FLOOD_LOAD = 0.25;
 const FULL_LOAD = 2;
@@ -48,7 +48,7 @@
       runId: `${policy}-${mix}`,
       bases: fleet.bases,
       phases: [
-        { name: 'warm-up', seconds: WARM_UP_SECONDS, callsPerSecond: rateFor(service, FLOOD_LOAD) },
+        ...warmUpPhases((share) => rateFor(service, share), FLOOD_LOAD, 0),
         { name: 'run', seconds: options.seconds, callsPerSecond },
       ],
       kinds: kinds(service.name, load - FLOOD_LOAD),
@@ -59,6 +59,7 @@
       mix,
       kind,
       ...kindRow(measured),
+      latestStartMs: Math.round(result.latestStart),
     }));
   } finally {
     await fleet.stop();
--- a/measure/measurements/zoneOutAndBack.ts
+++ b/measure/measurements/zoneOutAndBack.ts
@@ -4,12 +4,12 @@
 import { runGenerator } from '../harness/runGenerator';
 import { faultTargetSettings, MAIN_SERVICE, rateFor } from '../harness/serviceLoad';
 import { TestFleet } from '../harness/testFleet';
+import { lengthOf, WARM_UP, warmUpPhases } from '../harness/warmUp';
 import { type MeasureOptions } from '../measureOptions';
 import { type Measurement, type ResultRow } from '../measurement';
 
 const ZONES = ['zone-1', 'zone-2', 'zone-3'];
 const ZONE = 'zone-3';
-const WARM_UP_SECONDS = 3;
 
 interface Orders {
   readonly outAt: number | null;
@@ -22,9 +22,13 @@
   });
 }
 
-async function giveOrders(fleet: TestFleet, options: MeasureOptions): Promise<Orders> {
+async function giveOrders(
+  fleet: TestFleet,
+  options: MeasureOptions,
+  warmUpMs: number,
+): Promise<Orders> {
   const host = fleet.hosts[0]!;
-  await wait((WARM_UP_SECONDS + options.seconds) * 1000);
+  await wait(warmUpMs + options.seconds * 1000);
   const outAt = await orderZone(host, 'zone-out', ZONE, 'measure-out');
   await wait(options.seconds * 1000);
   const backAt = await orderZone(host, 'zone-back', ZONE, 'measure-back');
@@ -57,25 +61,26 @@
   });
   try {
     const callsPerSecond = rateFor(service, options.load);
-    const phase = (name: string, seconds = options.seconds) => ({ name, seconds, callsPerSecond });
+    const phase = (name: string) => ({ name, seconds: options.seconds, callsPerSecond });
+    const warmUp = warmUpPhases((load) => rateFor(service, load), options.load, 0);
     const [result, orders] = await Promise.all([
       runGenerator({
         seed: options.seed,
         runId: `${policy}-zone`,
         bases: fleet.bases,
-        phases: [phase('warm-up', WARM_UP_SECONDS), phase('before'), phase('out'), phase('back')],
+        phases: [...warmUp, phase('before'), phase('out'), phase('back')],
         kinds: [
           { name: 'lookup', weight: 9, method: 'GET', path: `/${service.name}/l`, keyed: false },
           { name: 'update', weight: 1, method: 'POST', path: `/${service.name}/u`, keyed: false },
         ],
         timeoutMs: 2000,
       }),
-      giveOrders(fleet, options),
+      giveOrders(fleet, options, lengthOf(warmUp)),
     ]);
     const judgement = judge(result.reports, await fleet.truth(), (key) => key.startsWith('/l/'));
     const lastCallAfterMs = await lastCallAfter(fleet, orders);
     return Object.entries(result.phases)
-      .filter(([name]) => name !== 'warm-up')
+      .filter(([name]) => name !== WARM_UP)
       .flatMap(([name, kinds]) =>
         Object.entries(kinds).map(([kind, measured]) => ({
           policy,
@@ -83,6 +88,7 @@
           kind,
           ...kindRow(measured),
           ...judgement,
+          latestStartMs: Math.round(result.latestStart),
           lastCallAfterMs,
           orders: orders.outAt !== null && orders.backAt !== null ? 'accepted' : 'not accepted',
         })),
