--- a/measure/measurements/index.ts
+++ b/measure/measurements/index.ts
@@ -6,6 +6,7 @@
 import { loadShift } from './loadShift';
 import { overloadPriority } from './overloadPriority';
 import { retryChain } from './retryChain';
+import { scaleChoice } from './scaleChoice';
 import { stragglers } from './stragglers';
 
 /** All measurements by name. */
@@ -17,4 +18,5 @@
   'overload-priority': overloadPriority,
   'load-shift': loadShift,
   'retry-chain': retryChain,
+  'scale-choice': scaleChoice,
 };
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,41 +1,32 @@
 import { parseArgs } from 'node:util';
 
-import { runSoak, type SoakResult } from './processes/soakRun';
+import { readSeed } from './poolProperty';
+import { runPools } from './poolRun';
+import { runProcesses } from './processRun';
+
+/** Parts of the soak run by name; each returns whether nothing was broken. */
+const PARTS: Readonly<Record<string, (seed: number, minutes: number) => Promise<boolean>>> = {
+  pools: runPools,
+  processes: runProcesses,
+};
 
 const OPTIONS = {
   minutes: { type: 'string', default: '1' },
   seed: { type: 'string' },
+  part: { type: 'string', default: Object.keys(PARTS).join(',') },
 } as const;
-const SEED_RANGE = 2 ** 31;
-
-function printResult({ load, judgements, faults }: SoakResult): void {
-  const kinds = Object.entries(load.phases.soak ?? {});
-  console.table(
-    kinds.map(([kind, { outcomes, latency }]) => ({
-      kind,
-      ...outcomes,
-      p50: latency.p50,
-      p99: latency.p99,
-    })),
-  );
-  console.table(judgements);
-  console.log(`faults: ${[...faults].map(([name, count]) => `${name} ${count}`).join(', ')}`);
-}
 
 async function main(): Promise<number> {
   const { values } = parseArgs({ options: OPTIONS });
-  const seed = Number(values.seed ?? 1 + Math.floor(Math.random() * SEED_RANGE));
-  console.log(`seed ${seed}`);
-  const start = performance.now();
-  const result = await runSoak(seed, Number(values.minutes), (line) =>
-    console.log(`${((performance.now() - start) / 1000).toFixed(1).padStart(6)} s  ${line}`),
-  );
-  printResult(result);
-  const kept = Object.values(result.judgements).every(
-    ({ doubled, lost, falseNotRun }) => doubled + lost + falseNotRun === 0,
-  );
-  console.log(kept ? 'passed' : `failed; repeat with --seed ${seed}`);
-  return kept ? 0 : 1;
+  const seed = values.seed === undefined ? readSeed() : Number(values.seed);
+  let passed = true;
+  for (const name of values.part.split(',')) {
+    const run = PARTS[name];
+    if (run === undefined)
+      throw new Error(`--part must be one of ${Object.keys(PARTS).join(', ')}`);
+    passed = (await run(seed, Number(values.minutes))) && passed;
+  }
+  return passed ? 0 : 1;
 }
 
 main().then(
