--- a/measure/harness/testFleet.ts
+++ b/measure/harness/testFleet.ts
@@ -10,6 +10,7 @@
   type TargetTruth,
 } from '../../standins';
 
+import { CountingForwarder } from './countingForwarder';
 import { startGatewayProcess } from './gatewayProcess';
 import { type ManagedProcess } from './managedProcess';
 import { TargetProcess } from './targetProcess';
@@ -37,6 +38,8 @@
   readonly rain?: boolean;
   readonly operations?: readonly string[];
   readonly coldMs?: number;
+  /** Puts a counting forwarder before each peer port. */
+  readonly countPeerBytes?: boolean;
 }
 
 async function makeHost(zone: string, index: number): Promise<SheetHost> {
@@ -50,6 +53,16 @@
   };
 }
 
+/** The hosts as the sheet lists them: with the ports of the forwarders as peer ports. */
+function forwardPeers(
+  hosts: readonly SheetHost[],
+  forwarders: readonly CountingForwarder[],
+): Promise<SheetHost[]> {
+  return Promise.all(
+    hosts.map(async (host, index) => ({ ...host, peerPort: await forwarders[index]!.start() })),
+  );
+}
+
 function targetIds(service: FleetService): readonly string[] {
   return Array.from({ length: service.targets }, (_, index) => `${service.name}-${index + 1}`);
 }
@@ -79,6 +92,7 @@
     readonly gateways: readonly ManagedProcess[],
     readonly targets: TargetProcess,
     readonly platform: PlatformStandin,
+    readonly forwarders: readonly CountingForwarder[],
   ) {}
 
   static async start(options: FleetOptions): Promise<TestFleet> {
@@ -89,6 +103,8 @@
       seed,
     );
     const hosts = await Promise.all(options.hostZones.map(makeHost));
+    const forwarders = hosts.map(({ peerPort }) => new CountingForwarder(peerPort));
+    const listed = options.countPeerBytes === true ? await forwardPeers(hosts, forwarders) : hosts;
     const platform = new PlatformStandin();
     const platformUrl = await platform.start();
     platform.publish(
@@ -96,7 +112,7 @@
         version: 1,
         rain: options.rain,
         zones: [...new Set([...options.hostZones, ...options.targetZones])],
-        hosts,
+        hosts: listed,
         services: services.map((service) => sheetService(service, options, targets)),
         operations: options.operations,
       }),
@@ -108,7 +124,7 @@
       ),
     );
     const gateways = starts.flatMap((start) => (start.status === 'fulfilled' ? [start.value] : []));
-    const fleet = new TestFleet(hosts, gateways, targets, platform);
+    const fleet = new TestFleet(hosts, gateways, targets, platform, forwarders);
     try {
       const failure = starts.find((start) => start.status === 'rejected');
       if (failure !== undefined) throw failure.reason;
@@ -131,6 +147,7 @@
 
   async stop(): Promise<void> {
     await Promise.all(this.gateways.map((gateway) => gateway.stop()));
+    await Promise.all(this.forwarders.map((forwarder) => forwarder.stop()));
     await this.targets.process.stop();
     await this.platform.stop();
   }
--- a/measure/measureOptions.ts
+++ b/measure/measureOptions.ts
@@ -21,6 +21,11 @@
     .string()
     .default('1000,3000')
     .transform((list) => list.split(',').map(Number)),
+  /** Fleet sizes of control-cost, separated by commas. */
+  sizes: z
+    .string()
+    .default('3,9,17,33')
+    .transform((list) => list.split(',').map(Number)),
   alternations: z.coerce.number().int().min(1).default(5),
 });
 
--- /dev/null
+++ b/measure/measurements/controlCost.ts
@@ -0,0 +1,93 @@
+import { runGenerator } from '../harness/runGenerator';
+import { TestFleet } from '../harness/testFleet';
+import { type MeasureOptions } from '../measureOptions';
+import { type Measurement, type ResultRow } from '../measurement';
+
+const ZONES = ['zone-1', 'zone-2', 'zone-3'];
+const SERVICE = { name: 'round-sheet', targets: 16, slots: 6 };
+const LOADED_CALLS_PER_SECOND = 300;
+const MEBIBYTE = 2 ** 20;
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+async function countersOf(fleet: TestFleet) {
+  const usages = await Promise.all(fleet.gateways.map((gateway) => gateway.usage()));
+  return {
+    at: performance.now(),
+    bytes: sum(fleet.forwarders.map(({ bytes }) => bytes)),
+    chunks: sum(fleet.forwarders.map(({ chunks }) => chunks)),
+    reads: fleet.platform.reads,
+    processorMs: sum(usages.map(({ processorMs }) => processorMs)),
+    residentBytes: Math.max(...usages.map(({ residentBytes }) => residentBytes)),
+  };
+}
+
+async function measureStretch(
+  fleet: TestFleet,
+  options: MeasureOptions,
+  load: 'idle' | 'loaded',
+): Promise<ResultRow> {
+  const hosts = fleet.hosts.length;
+  const before = await countersOf(fleet);
+  // The generator also runs when idle, without calls, so that both stretches are alike.
+  await runGenerator({
+    seed: options.seed,
+    runId: `control-${hosts}`,
+    bases: fleet.bases,
+    phases: [
+      {
+        name: 'run',
+        seconds: options.seconds,
+        callsPerSecond: load === 'idle' ? 1 : LOADED_CALLS_PER_SECOND,
+      },
+    ],
+    kinds: [{ name: 'lookup', weight: 1, method: 'GET', path: '/round-sheet/l', keyed: false }],
+    timeoutMs: 2000,
+  });
+  const after = await countersOf(fleet);
+  const seconds = (after.at - before.at) / 1000;
+  const each = (value: number) => Number((value / seconds / hosts).toFixed(2));
+  return {
+    hosts,
+    load,
+    // Each byte is sent by one host and received by another one.
+    sentBytesPerSecond: each(after.bytes - before.bytes),
+    sentChunksPerSecond: each(after.chunks - before.chunks),
+    platformReadsPerSecond: Number(((after.reads - before.reads) / seconds).toFixed(2)),
+    processorPercent: each((after.processorMs - before.processorMs) / 10),
+    residentMebibytes: Math.round(after.residentBytes / MEBIBYTE),
+  };
+}
+
+/**
+ * Traffic between hosts, counted by forwarders on the peer ports: TCP payload without the headers
+ * of IP and TCP. The processor share under load includes the calls.
+ */
+export const controlCost: Measurement = {
+  description: 'control traffic, processor share and memory of a host, by size of the fleet',
+  run: async (options, progress) => {
+    const rows: ResultRow[] = [];
+    for (const size of options.sizes) {
+      progress(`${size} gateways`);
+      const fleet = await TestFleet.start({
+        hostZones: Array.from({ length: size }, (_, index) => ZONES[index % ZONES.length]!),
+        targetZones: ZONES,
+        services: [SERVICE],
+        targetSettings: { slots: SERVICE.slots, serviceTimeMs: 20 },
+        policy: 'owner',
+        seed: options.seed,
+        countPeerBytes: true,
+      });
+      try {
+        for (const load of ['idle', 'loaded'] as const) {
+          rows.push(await measureStretch(fleet, options, load));
+        }
+      } finally {
+        await fleet.stop();
+      }
+    }
+    return rows;
+  },
+};
--- a/measure/measurements/index.ts
+++ b/measure/measurements/index.ts
@@ -2,6 +2,7 @@
 
 import { addedLatency } from './addedLatency';
 import { coldStart } from './coldStart';
+import { controlCost } from './controlCost';
 import { failFast } from './failFast';
 import { loadShift } from './loadShift';
 import { overloadPriority } from './overloadPriority';
@@ -18,5 +19,6 @@
   'overload-priority': overloadPriority,
   'load-shift': loadShift,
   'retry-chain': retryChain,
+  'control-cost': controlCost,
   'scale-choice': scaleChoice,
 };
