--- a/demo/main.ts
+++ b/demo/main.ts
@@ -27,9 +27,12 @@
 } as const;
 
 function progressLine(system: DemoSystem): string {
-  const runs = [...system.targets.values()].flatMap((target) => target.runs);
+  const targets = [...system.targets.values()];
+  const runs = targets.flatMap((target) => target.runs);
   const done = runs.filter(({ state }) => state === 'done').length;
-  return `${done} calls took effect, ${runs.length - done} in flight or ended without effect`;
+  const inFlight = targets.reduce((sum, target) => sum + target.inFlight, 0);
+  const without = runs.length - done - inFlight;
+  return `${done} calls took effect, ${inFlight} in flight, ${without} ended without effect`;
 }
 
 /** Table of outcomes by service, from the callers' and the targets' records. */
@@ -80,7 +83,7 @@
   console.log(
     step.wasAccepted
       ? `calls in ${step.zone} later than 3 s after it was taken out: ${lateCalls}`
-      : 'the zone step was not carried out: this fleet takes no orders',
+      : 'the zone step was not carried out: the order was rejected',
   );
   const broken = table.some((row) => row.doubled + row.lost + row['false not run'] > 0);
   return !broken && lateCalls === 0;
--- a/demo/startDemoGateway.ts
+++ b/demo/startDemoGateway.ts
@@ -5,23 +5,24 @@
   createLogger,
   DecisionLog,
   EventLog,
-  type Fleet,
-  FixedFleet,
-  type Gateway,
   GATEWAY_SETTINGS,
+  Lifecycle,
   readSettings,
+  type ReplicatedFleet,
   SeededRandom,
-  type Sheet,
+  SilentSink,
   startGateway,
   SystemClock,
 } from '../src';
+import { openFleet } from '../src/gateway/openFleet';
+import { RouterHandover } from '../src/gateway/routerHandover';
 import { type SheetHost } from '../standins';
 
 /** A gateway in the process of the demo. */
 export interface DemoGateway {
   readonly host: SheetHost;
-  readonly fleet: Fleet;
-  readonly gateway: Gateway;
+  readonly fleet: ReplicatedFleet;
+  close(): Promise<void>;
 }
 
 function settingsOf(host: SheetHost, platformUrl: string) {
@@ -44,27 +45,37 @@
   }).unwrap().values;
 }
 
+function discardedDecisions(hostId: string): DecisionLog {
+  const discard = new Writable({ write: (_chunk, _encoding, done) => done() });
+  return new DecisionLog(new BufferedWriter(discard), 'limpetknot-demo', hostId, () => new Date());
+}
+
 /** Starts a gateway through the library; its decisions are not written. */
 export async function startDemoGateway(
   host: SheetHost,
-  sheet: Sheet,
   platformUrl: string,
   seed: number,
 ): Promise<DemoGateway> {
-  const discard = new Writable({ write: (_chunk, _encoding, done) => done() });
-  const fleet = new FixedFleet(host.id, sheet);
-  const started = await startGateway(settingsOf(host, platformUrl), {
+  const settings = settingsOf(host, platformUrl);
+  const lifecycle = new Lifecycle();
+  const parts = {
     clock: new SystemClock(),
     random: new SeededRandom(seed),
     events: new EventLog(createLogger('limpetknot-demo', host.id, 'warn')),
-    decisions: new DecisionLog(
-      new BufferedWriter(discard),
-      'limpetknot-demo',
-      host.id,
-      () => new Date(),
-    ),
-    fleet,
+    metrics: new SilentSink(),
+    handover: new RouterHandover(),
+  };
+  const fleet = await openFleet(settings, { ...parts, lifecycle }, new AbortController().signal);
+  if (fleet.err) throw new Error(`${host.id} did not join the fleet: ${fleet.val}`);
+  const started = await startGateway(settings, {
+    ...parts,
+    decisions: discardedDecisions(host.id),
+    fleet: fleet.val,
   });
   if (started.err) throw new Error(`${host.id} did not start: ${JSON.stringify(started.val)}`);
-  return { host, fleet, gateway: started.val };
+  const close = async () => {
+    await started.val.close();
+    await lifecycle.close();
+  };
+  return { host, fleet: fleet.val, close };
 }
