Wire the parts of a gateway process together

Cause: operators' port, warnings, probing, configuration watcher, host list, sheet store, claims, suspects and the graceful shutdown existed but no process ran them. Change: serve() starts each of them on the life cycle of the process; openFleet uses the sheet store and shares its transport; SIGTERM runs shutDown; StatsD metrics when an address is set.

--- a/src/fleet/replica.ts
+++ b/src/fleet/replica.ts
@@ -17,7 +17,7 @@
 import { ReleaseInbox } from './releaseInbox';
 import { ReleaseSender } from './releaseSender';
 import { type ReplicaParts } from './replicaParts';
-import { CONFIRMED_SILENCE_MS } from './timing';
+import { CONFIRMED_SILENCE_MS, SILENCE_MS } from './timing';
 import { viewDeadline } from './viewDeadline';
 import { type Vote } from './vote';
 
@@ -93,6 +93,13 @@
     });
   }
 
+  /** Hosts that are not silent, this one included. */
+  liveHosts(): readonly string[] {
+    const { clock, hostId } = this.parts;
+    const since = clock.now() - SILENCE_MS;
+    return this.hosts().filter((host) => host === hostId || this.contacts.contactAt(host) > since);
+  }
+
   isCurrent(): boolean {
     return this.parts.clock.now() < this.viewDeadline();
   }
--- a/src/fleet/replicatedFleet.ts
+++ b/src/fleet/replicatedFleet.ts
@@ -87,6 +87,11 @@
     return this.replica.status();
   }
 
+  /** Hosts with contact in both directions within the last seconds, this one included. */
+  liveHosts(): readonly string[] {
+    return this.replica.liveHosts();
+  }
+
   /** Announces that this host leaves; resolves when its targets are handed over, or at `deadline`. */
   async leave(deadline: number): Promise<void> {
     const { clock, hostId } = this.parts;
--- /dev/null
+++ b/src/gateway/describeTargets.ts
@@ -0,0 +1,39 @@
+import { type FleetView, type OwnedTarget } from '../fleet';
+import { type TargetStatus } from '../operators';
+import { type Router, type TargetState } from '../routing';
+
+type StateName = TargetStatus['state'];
+
+// The first condition that holds names the state.
+const STATES: readonly (readonly [StateName, (state: TargetState, now: number) => boolean])[] = [
+  ['out-of-service', (state) => !state.owned.inService],
+  ['leaving', (state) => state.isLeaving],
+  ['waiting', (state, now) => now < state.owned.usableFrom],
+  ['suspected', (state) => state.suspicion.active || state.outage.active],
+  ['warm', (state) => state.ramp.isWarm],
+  ['cold', (state, now) => now < state.ramp.coldUntil],
+];
+
+function describeTarget(owned: OwnedTarget, router: Router, now: number): TargetStatus {
+  const { service, slots, target, zone } = owned.target;
+  const state = router.ownedTarget(target);
+  const name = state && STATES.find(([, holds]) => holds(state, now))?.[0];
+  return {
+    target,
+    service,
+    zone,
+    slots,
+    inFlight: state?.load(now) ?? 0,
+    limit: state?.limit(now) ?? 0,
+    state: name ?? 'ramping',
+  };
+}
+
+/** The targets that this host owns, for the status. */
+export function describeTargets(
+  view: FleetView | null,
+  router: Router,
+  now: number,
+): readonly TargetStatus[] {
+  return [...(view?.owned.values() ?? [])].map((owned) => describeTarget(owned, router, now));
+}
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -7,5 +7,8 @@
   stopped: { number: 1402, level: 'info', message: 'gateway stopped' },
   ready: { number: 1404, level: 'info', message: 'gateway ready' },
   noStartSheet: { number: 1405, level: 'info', message: 'no valid sheet published at start' },
+  stopping: { number: 1406, level: 'info', message: 'gateway stopping' },
+  callsInterrupted: { number: 1407, level: 'error', message: 'calls interrupted by the stop' },
+  metricsFailed: { number: 1408, level: 'warn', message: 'metrics could not be sent' },
   startFailed: { number: 1403, level: 'error', message: 'gateway failed to start' },
 });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -53,6 +53,16 @@
   readonly relayPort: number;
   /** Outcomes of the calls of this host's callers, and violations of the outcome rules. */
   readonly outcomes: OutcomeRecorder;
+  readonly router: Router;
+  readonly suspects: Suspects;
+  /** Calls that this host holds for callers and for other hosts. */
+  callsInFlight(): number;
+  /** From now on each answer closes its caller's connection. */
+  closeConnectionsWithAnswers(): void;
+  /** Takes no further connections from callers and closes idle ones. */
+  stopAccepting(): void;
+  /** Interrupts all calls by closing the connections of callers and of other hosts. */
+  dropConnections(): void;
   /** Closes all resources in reverse order of opening. */
   close(): Promise<void>;
 }
@@ -129,23 +139,22 @@
   parts: GatewayParts,
 ): Promise<Result<Gateway, ListenError>> {
   const lifecycle = new Lifecycle();
-  const suspects = new SuspectCalls(
-    new Suspects({
-      hostId: settings['host-id'],
-      fleet: parts.fleet,
-      clock: parts.clock,
-      events: parts.events,
-      transport: parts.transport ?? null,
-    }),
-  );
-  const context = makeContext(settings, parts, suspects);
+  const suspects = new Suspects({
+    hostId: settings['host-id'],
+    fleet: parts.fleet,
+    clock: parts.clock,
+    events: parts.events,
+    transport: parts.transport ?? null,
+  });
+  const suspectCalls = new SuspectCalls(suspects);
+  const context = makeContext(settings, parts, suspectCalls);
   lifecycle.own('target connections', () => context.targetPools.close());
   lifecycle.own('relay connections', () => context.relay.pools.close());
   const forwarder = new Forwarder(context);
   const relay = new RelayListener(context, forwarder, parts.events);
   const callers = new CallerListener(
     context,
-    entryRun(parts, context, suspects, forwarder, lifecycle),
+    entryRun(parts, context, suspectCalls, forwarder, lifecycle),
     parts.events,
     parts.requestLimits,
   );
@@ -166,6 +175,18 @@
     callerPort: callerPort.val,
     relayPort: relayPort.val,
     outcomes: context.recorder,
+    router: context.router,
+    suspects,
+    callsInFlight: () => context.loadGuard.callsHeld(),
+    closeConnectionsWithAnswers: () => callers.closeConnectionsWithAnswers(),
+    stopAccepting: () => {
+      callers.server.close();
+      callers.server.closeIdleConnections();
+    },
+    dropConnections: () => {
+      callers.server.closeAllConnections();
+      relay.server.closeAllConnections();
+    },
     close: async () => {
       const errors = await lifecycle.close();
       for (const error of errors) {
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -1,12 +1,10 @@
-import { once } from 'node:events';
 import { createWriteStream } from 'node:fs';
 import { Writable } from 'node:stream';
 
-import { type ReplicatedFleet } from '../fleet';
 import { Lifecycle } from '../lifecycle';
 import { BufferedWriter, createLogger, DecisionLog, EventLog } from '../logging';
-import { SilentSink } from '../metrics';
-import { type Clock, SeededRandom, SystemClock, waitUntil } from '../runtime';
+import { SilentSink, StatsdSink } from '../metrics';
+import { SeededRandom, SystemClock } from '../runtime';
 import {
   formatSettingsError,
   GATEWAY_SETTINGS,
@@ -16,15 +14,15 @@
 } from '../settings';
 
 import { GATEWAY_EVENTS } from './events';
-import { type GatewayParts, startGateway } from './gateway';
-import { openFleet } from './openFleet';
+import { startGateway } from './gateway';
+import { type FleetParts, openFleet } from './openFleet';
 import { RouterHandover } from './routerHandover';
+import { serve } from './serve';
+import { listenToStopSignals } from './stopSignals';
 import { VERSION } from './version';
 
 const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
-const READY_POLL_MS = 50;
-const LEAVE_LIMIT_MS = 3000;
 
 function decisionOutput(path: string): Writable {
   if (path === '-') return process.stdout;
@@ -32,64 +30,56 @@
   return createWriteStream(path, { flags: 'a' });
 }
 
-/** Reports the first moment at which callers may be sent here. */
-async function reportReady(
-  fleet: ReplicatedFleet,
-  clock: Clock,
-  events: EventLog,
-  signal: AbortSignal,
-): Promise<void> {
-  while (!fleet.isReady() && !signal.aborted) {
-    await waitUntil(clock, clock.now() + READY_POLL_MS, signal);
-  }
-  if (fleet.isReady()) events.emit(GATEWAY_EVENTS.ready, { epoch: fleet.view()?.record.epoch });
-}
-
-/** Aborted by the first SIGTERM or SIGINT. */
-function stopSignal(): AbortSignal {
-  const stop = new AbortController();
-  process.once('SIGTERM', () => stop.abort());
-  process.once('SIGINT', () => stop.abort());
-  return stop.signal;
+function metricsSink(settings: GatewaySettings, events: EventLog): StatsdSink | null {
+  const address = settings['statsd-address'];
+  if (address === '') return null;
+  const { hostname, port } = new URL(`udp://${address}`);
+  return new StatsdSink(hostname, Number(port), (error) =>
+    events.emit(GATEWAY_EVENTS.metricsFailed, { error: error.message }),
+  );
 }
 
-async function serve(
+/** Joins the fleet and serves until stopped; returns the exit code. */
+async function runParts(
   settings: GatewaySettings,
-  fleet: ReplicatedFleet,
-  tools: Omit<GatewayParts, 'fleet'>,
-  signal: AbortSignal,
+  parts: Omit<FleetParts, 'handover'>,
+  decisions: DecisionLog,
 ): Promise<number> {
-  const { clock, events } = tools;
-  const gateway = await startGateway(settings, { ...tools, fleet });
+  const signals = listenToStopSignals();
+  const { events } = parts;
+  const handover = new RouterHandover();
+  const opened = await openFleet(settings, { ...parts, handover }, signals.first);
+  if (opened.err) {
+    if (!signals.first.aborted) events.emit(GATEWAY_EVENTS.startFailed, { reason: opened.val });
+    return signals.first.aborted ? 0 : EXIT_FAILURE;
+  }
+  const { dispatcher, fleet, transport } = opened.val;
+  const gateway = await startGateway(settings, { ...parts, handover, decisions, fleet, transport });
   if (gateway.err) {
     events.emit(GATEWAY_EVENTS.startFailed, { ...gateway.val });
     return EXIT_FAILURE;
   }
-  await reportReady(fleet, clock, events, signal);
-  if (!signal.aborted) await once(signal, 'abort');
-  await fleet.leave(clock.now() + Math.min(LEAVE_LIMIT_MS, settings['stop-limit']));
-  await gateway.val.close();
-  return 0;
+  const running = { ...parts, settings, fleet, gateway: gateway.val };
+  return serve(running, dispatcher, signals);
 }
 
 async function run(settings: GatewaySettings): Promise<number> {
-  const events = new EventLog(
-    createLogger('limpetknot-gateway', settings['host-id'], settings['log-level']),
-  );
-  const signal = stopSignal();
-  const clock = new SystemClock();
-  const random = new SeededRandom(settings['random-seed'] || process.pid);
-  const writer = new BufferedWriter(decisionOutput(settings['decision-log']));
   const hostId = settings['host-id'];
-  const decisions = new DecisionLog(writer, 'limpetknot-gateway', hostId, () => new Date());
+  const events = new EventLog(createLogger('limpetknot-gateway', hostId, settings['log-level']));
   const lifecycle = new Lifecycle();
+  const writer = new BufferedWriter(decisionOutput(settings['decision-log']));
   lifecycle.own('decision log', () => writer.close());
-  const handover = new RouterHandover();
-  const parts = { clock, random, events, metrics: new SilentSink(), lifecycle, handover };
-  const fleet = await openFleet(settings, parts, signal);
-  let exitCode = signal.aborted ? 0 : EXIT_FAILURE;
-  if (fleet.ok) exitCode = await serve(settings, fleet.val, { ...parts, decisions }, signal);
-  else events.emit(GATEWAY_EVENTS.startFailed, { reason: fleet.val });
+  const statsd = metricsSink(settings, events);
+  if (statsd !== null) lifecycle.own('metrics', () => statsd.close());
+  const parts = {
+    clock: new SystemClock(),
+    random: new SeededRandom(settings['random-seed'] || process.pid),
+    events,
+    metrics: statsd ?? new SilentSink(),
+    lifecycle,
+  };
+  const decisions = new DecisionLog(writer, 'limpetknot-gateway', hostId, () => new Date());
+  const exitCode = await runParts(settings, parts, decisions);
   await lifecycle.close();
   events.emit(GATEWAY_EVENTS.stopped);
   return exitCode;
--- a/src/gateway/openFleet.ts
+++ b/src/gateway/openFleet.ts
@@ -3,7 +3,7 @@
 import { Err, Ok, type Result } from 'ts-results';
 import { Agent } from 'undici';
 
-import { MemorySheetSource, ReplicatedFleet } from '../fleet';
+import { ReplicatedFleet, SheetStore } from '../fleet';
 import { type Lifecycle } from '../lifecycle';
 import { type EventLog } from '../logging';
 import { type MetricsSink } from '../metrics';
@@ -25,6 +25,14 @@
   readonly lifecycle: Lifecycle;
 }
 
+/** A fleet that was joined, with the connections that other parts of the gateway share. */
+export interface OpenedFleet {
+  readonly fleet: ReplicatedFleet;
+  readonly transport: GrpcTransport;
+  /** For reads of the platform. */
+  readonly dispatcher: Agent;
+}
+
 /**
  * Finds a sheet to start with, opens the peer port and joins the fleet; the host becomes ready
  * later. An error tells why the port could not be opened or that `signal` was aborted.
@@ -33,8 +41,8 @@
   settings: GatewaySettings,
   parts: FleetParts,
   signal: AbortSignal,
-): Promise<Result<ReplicatedFleet, string>> {
-  const { clock, events, handover, lifecycle, random } = parts;
+): Promise<Result<OpenedFleet, string>> {
+  const { clock, events, handover, lifecycle, metrics, random } = parts;
   const hostId = settings['host-id'];
   const incarnation = randomUUID().slice(0, 8);
   const secret = settings['peer-secret'];
@@ -44,7 +52,7 @@
   if (port.err) return port;
   const dispatcher = new Agent();
   lifecycle.own('configuration connections', () => dispatcher.close());
-  const sheets = new MemorySheetSource(transport);
+  const sheets = new SheetStore({ transport, clock, random, events, metrics });
   const search = { settings, transport, sheets, clock, events, dispatcher };
   const startSheet = await findStartSheet(search, signal);
   if (startSheet === null) return Err('stopped before a sheet was found');
@@ -62,5 +70,5 @@
   });
   lifecycle.own('fleet', () => fleet.close());
   fleet.start();
-  return Ok(fleet);
+  return Ok({ fleet, transport, dispatcher });
 }
--- /dev/null
+++ b/src/gateway/serve.ts
@@ -0,0 +1,79 @@
+import { once } from 'node:events';
+
+import { type Agent } from 'undici';
+
+import { type ReplicatedFleet } from '../fleet';
+import { type Clock, waitUntil } from '../runtime';
+
+import { GATEWAY_EVENTS } from './events';
+import { type Running } from './running';
+import { shutDown } from './shutDown';
+import { type ShutdownSteps } from './shutdownPlan';
+import { startOperators } from './startOperators';
+import { startPlatformReaders } from './startPlatformReaders';
+import { startProbing } from './startProbing';
+import { startWarnings } from './startWarnings';
+import { type StopSignals } from './stopSignals';
+
+const READY_POLL_MS = 50;
+const EXIT_FAILURE = 1;
+
+async function reportReady(
+  fleet: ReplicatedFleet,
+  clock: Clock,
+  signal: AbortSignal,
+): Promise<boolean> {
+  while (!fleet.isReady() && !signal.aborted) {
+    await waitUntil(clock, clock.now() + READY_POLL_MS, signal);
+  }
+  return fleet.isReady();
+}
+
+async function stop(running: Running, urgent: AbortSignal): Promise<void> {
+  const { clock, events, fleet, gateway, lifecycle, settings } = running;
+  const now = clock.now();
+  const deadlines = {
+    noticeUntil: now + settings['notice-period'],
+    stopBy: now + settings['stop-limit'],
+  };
+  const steps: ShutdownSteps = {
+    markNotReady: () => events.emit(GATEWAY_EVENTS.stopping),
+    leaveFleet: (deadline) => fleet.leave(deadline),
+    closeConnectionsWithAnswers: () => gateway.closeConnectionsWithAnswers(),
+    stopAccepting: () => gateway.stopAccepting(),
+    callsInFlight: () => gateway.callsInFlight(),
+    closeResources: async () => {
+      // Calls that are still open here ran out of time; closing would wait for them.
+      if (gateway.callsInFlight() > 0) gateway.dropConnections();
+      await gateway.close();
+      await lifecycle.close();
+    },
+  };
+  const { interruptedCalls } = await shutDown(steps, deadlines, clock, urgent);
+  if (interruptedCalls > 0) events.emit(GATEWAY_EVENTS.callsInterrupted, { interruptedCalls });
+}
+
+/** Runs a gateway with all that belongs to it until it is stopped; returns the exit code. */
+export async function serve(
+  running: Running,
+  dispatcher: Agent,
+  signals: StopSignals,
+): Promise<number> {
+  const { clock, events, fleet } = running;
+  const watcher = startPlatformReaders(running, dispatcher);
+  startProbing(running);
+  const board = startWarnings(running, watcher);
+  const { first, second } = signals;
+  const operators = await startOperators(running, watcher, board, () => first.aborted);
+  if (operators.err) {
+    events.emit(GATEWAY_EVENTS.startFailed, { ...operators.val });
+    await running.gateway.close();
+    return EXIT_FAILURE;
+  }
+  if (await reportReady(fleet, clock, first)) {
+    events.emit(GATEWAY_EVENTS.ready, { epoch: fleet.view()?.record.epoch });
+  }
+  if (!first.aborted) await once(first, 'abort');
+  await stop(running, second);
+  return 0;
+}
--- /dev/null
+++ b/src/gateway/startPlatformReaders.ts
@@ -0,0 +1,38 @@
+import { type Agent } from 'undici';
+
+import { ConfigurationWatcher, HostListPoller } from '../fleet';
+import { readConfiguration, readHostList } from '../platform';
+
+import { ownTask } from './ownTask';
+import { type Running } from './running';
+
+function startWatcher(running: Running, dispatcher: Agent): ConfigurationWatcher {
+  const { fleet, lifecycle, settings } = running;
+  const url = settings['configuration-url'];
+  const watcher = new ConfigurationWatcher({
+    ...running,
+    hostId: settings['host-id'],
+    read: (after, waitSeconds, signal) =>
+      readConfiguration({ url, after, waitSeconds, dispatcher, signal }),
+    record: () => fleet.view()?.record ?? null,
+    propose: (sheet) => fleet.publish(sheet),
+  });
+  const forget = fleet.onChange(() => watcher.recordChanged());
+  lifecycle.own('configuration listener', forget);
+  ownTask('configuration watcher', watcher, lifecycle);
+  return watcher;
+}
+
+/** Starts to read the configuration service and the host list; returns the watcher. */
+export function startPlatformReaders(running: Running, dispatcher: Agent): ConfigurationWatcher {
+  const { fleet, gateway, lifecycle, settings } = running;
+  const poller = new HostListPoller({
+    ...running,
+    read: (entityTag, signal) =>
+      readHostList(settings['host-list-url'], entityTag, dispatcher, signal),
+    hostCount: () => fleet.view()?.sheet.hosts.size ?? 1,
+    onChange: (states) => gateway.router.applyHostList(states),
+  });
+  ownTask('host list poller', poller, lifecycle);
+  return startWatcher(running, dispatcher);
+}
--- a/src/routing/ownerTable.ts
+++ b/src/routing/ownerTable.ts
@@ -61,6 +61,15 @@
     this.own = this.all.find((each) => each.own) ?? null;
   }
 
+  /** Slots of other owners in a zone, without those that told that they can use none. */
+  usableSlots(zone: string, now: number): number {
+    return this.all
+      .filter((candidate) => !candidate.own && !candidate.isHeldBack(now))
+      .flatMap((candidate) => candidate.owner.targets)
+      .filter((target) => target.zone === zone)
+      .reduce((sum, target) => sum + target.slots, 0);
+  }
+
   learn(hostId: string, state: PoolState, now: number): void {
     this.byHost.get(hostId)?.learn(state, now, this.nextTrial(now));
   }
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -114,6 +114,18 @@
     return this.pools.get(service)?.medianMs() ?? 0;
   }
 
+  /**
+   * Slots that the owners of a service can use in a zone: limits of open targets here, and for
+   * other owners their slots unless they last told that they can use none.
+   */
+  usableSlots(service: string, zone: string): number {
+    const now = this.clock.now();
+    const own = (this.pools.get(service)?.owned() ?? [])
+      .filter((state) => state.target.zone === zone && state.isOpen(now) && !state.outage.active)
+      .reduce((sum, state) => sum + state.limit(now), 0);
+    return own + (this.owners.get(service)?.usableSlots(zone, now) ?? 0);
+  }
+
   /** State of a target for its next owner; null when nothing is known of it here. */
   describeTarget(targetId: string): TargetDescription | null {
     for (const pool of this.pools.values()) {
--- a/src/suspects/suspectTable.ts
+++ b/src/suspects/suspectTable.ts
@@ -11,6 +11,7 @@
 
 interface Suspect {
   readonly route: string;
+  readonly first: Death;
   /** Call and target of each death; one that is reported again counts once. */
   readonly deaths: Set<string>;
   forgetAt: number;
@@ -58,6 +59,14 @@
     return this.suspects.size === 0;
   }
 
+  /** The calls that are refused. */
+  refused(): readonly Death[] {
+    const now = this.clock.now();
+    return [...this.suspects.values()]
+      .filter((suspect) => suspect.deaths.size >= DEATHS_TO_REFUSE && now < suspect.forgetAt)
+      .map((suspect) => suspect.first);
+  }
+
   /** What is known of a call; null when no target died during it. */
   check(call: CallIdentity): Suspicion | null {
     if (this.suspects.size === 0) return null;
@@ -72,7 +81,7 @@
     if (this.suspects.size >= LARGEST_SUSPECTS) return null;
     const route = routeOf(death);
     this.routes.set(route, (this.routes.get(route) ?? 0) + 1);
-    const suspect = { route, deaths: new Set<string>(), forgetAt: 0 };
+    const suspect = { route, first: death, deaths: new Set<string>(), forgetAt: 0 };
     this.suspects.set(death.fingerprint, suspect);
     return suspect;
   }
--- a/src/suspects/suspects.ts
+++ b/src/suspects/suspects.ts
@@ -44,6 +44,11 @@
     return this.table.isEmpty();
   }
 
+  /** The calls that are refused because targets died while running them. */
+  refused(): readonly Death[] {
+    return this.table.refused();
+  }
+
   /** What is known of a call; null when no target died during it. */
   check(call: CallIdentity): Suspicion | null {
     return this.table.check(call);
