Cover establishment by a minority; let releases wait without a shared abort signal

Cause: a trial that dropped the majority from Establishment passed all tests; many releases at once waited on one abort signal, and Node.js warned of a listener leak. Change: a test of a restarted host that reaches a minority only; ReleaseSender checks a flag. Result: test/fleet/agreement passes (17 tests) and fails in a scratch copy without the majority check (trial); test/fleet/gatewayProcesses passes without the warning.

--- a/src/fleet/releaseSender.ts
+++ b/src/fleet/releaseSender.ts
@@ -37,7 +37,7 @@
 export class ReleaseSender {
   private readonly running = new Set<Promise<void>>();
 
-  private readonly stopped = new AbortController();
+  private closed = false;
 
   constructor(private readonly context: ReleaseContext) {}
 
@@ -57,7 +57,7 @@
 
   /** Gives up releases that have not arrived. */
   close(): void {
-    this.stopped.abort();
+    this.closed = true;
   }
 
   private async release(
@@ -68,21 +68,19 @@
     const { clock } = this.context;
     const used = clock.now() >= target.knownFrom;
     const state = used ? (own ?? passedOn(target.inherited)) : await this.earlierCalls(target);
-    const { signal } = this.stopped;
-    while (clock.now() < until && !signal.aborted) {
+    while (clock.now() < until && !this.closed) {
       if (await this.sendOnce(target, state)) return;
-      await waitUntil(clock, clock.now() + RETRY_INTERVAL_MS, signal);
+      await waitUntil(clock, clock.now() + RETRY_INTERVAL_MS);
     }
   }
 
   /** The earlier owner's calls to a target that this host never used; waits until known. */
   private async earlierCalls(target: DepartingTarget): Promise<ReleasedState> {
     const { clock, inbox } = this.context;
-    const { signal } = this.stopped;
-    while (clock.now() < target.knownFrom && !signal.aborted) {
+    while (clock.now() < target.knownFrom && !this.closed) {
       const late = inbox.find(target.target.target, target.releaseEpoch);
       if (late !== null) return passedOn(late);
-      await waitUntil(clock, clock.now() + SETTLE_POLL_MS, signal);
+      await waitUntil(clock, clock.now() + SETTLE_POLL_MS);
     }
     return NOTHING_SENT;
   }
--- a/test/fleet/agreement.test.ts
+++ b/test/fleet/agreement.test.ts
@@ -196,3 +196,18 @@
   await sim.advance(3000, () => sim.sendCalls());
   expect(sim.callsMade).toBeGreaterThan(50);
 });
+
+// Guards against a host without memory that votes although it may have voted otherwise before.
+test('a restarted host that reaches only a minority is not established', async () => {
+  const sim = await runningFleet();
+  for (const host of ['host-3', 'host-4', 'host-5']) {
+    sim.network.cut(host, 'host-2');
+    sim.network.cut('host-2', host);
+  }
+  sim.start('host-2');
+  await sim.advance(8000);
+  expect(sim.fleet('host-2').isEstablished()).toBe(false);
+  sim.network.cuts.clear();
+  await sim.advance(5000);
+  expect(sim.fleet('host-2').isReady()).toBe(true);
+});
