--- a/demo/startDemoGateway.ts
+++ b/demo/startDemoGateway.ts
@@ -70,12 +70,12 @@
   const started = await startGateway(settings, {
     ...parts,
     decisions: discardedDecisions(host.id),
-    fleet: fleet.val,
+    ...fleet.val,
   });
   if (started.err) throw new Error(`${host.id} did not start: ${JSON.stringify(started.val)}`);
   const close = async () => {
     await started.val.close();
     await lifecycle.close();
   };
-  return { host, fleet: fleet.val, close };
+  return { host, fleet: fleet.val.fleet, close };
 }
