Let calls of the random run leave after a connection delay

Change: a call leaves 0 to 4 ms after its grant; suspect calls arrive three at a time. Conclusion: the run now guards the checks at the moment of sending.

--- /dev/null
+++ b/soak/poolReport.ts
@@ -0,0 +1,10 @@
+/** What happened in a run. */
+export interface PoolReport {
+  readonly arrived: number;
+  readonly answered: number;
+  readonly notRun: number;
+  readonly failed: number;
+  readonly unsettled: number;
+  readonly violations: number;
+  readonly broken: readonly string[];
+}
--- a/soak/poolScenario.ts
+++ b/soak/poolScenario.ts
@@ -3,37 +3,16 @@
 import { type Sheet } from '../src/sheet';
 
 import { flush } from './flush';
+import { type PoolReport } from './poolReport';
+import { type PoolStep } from './poolStep';
 import { SimulatedFleet } from './simulatedFleet';
 import { SIMULATED_SERVICE, simulatedSheet, type SimulatedSheetParts } from './simulatedSheet';
 import { SimulatedTarget } from './simulatedTarget';
 
-/** One step of a random run. */
-export type PoolStep =
-  | { readonly kind: 'arrive'; readonly count: number; readonly class: string }
-  | { readonly kind: 'arrive-suspect' }
-  | { readonly kind: 'advance'; readonly ms: number }
-  | { readonly kind: 'pause'; readonly ms: number }
-  | { readonly kind: 'view-ends' }
-  | {
-      readonly kind: 'straggle' | 'fail-fast' | 'drain' | 'cut' | 'restart' | 'move' | 'list';
-      readonly target: number;
-    }
-  | { readonly kind: 'zone'; readonly zone: number };
-
-/** What happened in a run. */
-export interface PoolReport {
-  readonly arrived: number;
-  readonly answered: number;
-  readonly notRun: number;
-  readonly failed: number;
-  readonly unsettled: number;
-  readonly violations: number;
-  readonly broken: readonly string[];
-}
-
 const SERVICE_MS = 10;
 const CALL_LIMIT_MS = 300;
 const STEP_MS = 2;
+const LONGEST_CONNECT_MS = 5;
 
 /** One owner's pool with simulated targets; checks the rules of the design from outside. */
 export class PoolScenario {
@@ -43,6 +22,8 @@
 
   private readonly sheet: Sheet;
 
+  private readonly random: SeededRandom;
+
   private readonly fleet: SimulatedFleet;
 
   private readonly targets = new Map<string, SimulatedTarget>();
@@ -68,9 +49,9 @@
     this.ids = [...this.sheet.targets.keys()];
     this.fleet = new SimulatedFleet('host-1', this.sheet);
     this.router = new Router(this.fleet, this.clock, new SeededRandom(seed));
-    const random = new SeededRandom(seed + 1);
+    this.random = new SeededRandom(seed + 1);
     for (const id of this.ids) {
-      this.targets.set(id, new SimulatedTarget(this.clock, random, SERVICE_MS));
+      this.targets.set(id, new SimulatedTarget(this.clock, this.random, SERVICE_MS));
     }
   }
 
@@ -122,7 +103,7 @@
         for (let call = 0; call < step.count; call += 1) this.arrive(step.class, null);
         return;
       case 'arrive-suspect':
-        this.arrive('standard', 'fingerprint');
+        for (let call = 0; call < 3; call += 1) this.arrive('standard', 'fingerprint');
         return;
       case 'advance':
         await this.advance(step.ms);
@@ -214,12 +195,18 @@
       this.notRun += 1;
       return;
     }
-    if (slot.val.mayLeave().err) {
-      slot.val.finish({ kind: 'not-sent' });
-      this.notRun += 1;
+    // A connection may take a moment to open, and much can change meanwhile.
+    const leaveAt = this.clock.now() + this.random.integer(LONGEST_CONNECT_MS);
+    this.clock.setTimer(leaveAt, () => this.leave(call, slot.val));
+  }
+
+  private leave(call: CallTraits, slot: Slot): void {
+    if (slot.mayLeave().ok) {
+      this.send(call, slot);
       return;
     }
-    this.send(call, slot.val);
+    slot.finish({ kind: 'not-sent' });
+    this.notRun += 1;
   }
 
   private send(call: CallTraits, slot: Slot): void {
--- a/soak/poolSteps.ts
+++ b/soak/poolSteps.ts
@@ -1,6 +1,6 @@
 import * as fc from 'fast-check';
 
-import { type PoolStep } from './poolScenario';
+import { type PoolStep } from './poolStep';
 import { type SimulatedSheetParts } from './simulatedSheet';
 
 const target = fc.nat({ max: 5 });
