--- a/measure/measureOptions.ts
+++ b/measure/measureOptions.ts
@@ -6,7 +6,7 @@
   json: z.boolean().default(false),
   seed: z.coerce.number().int().min(1).default(1),
   /** Length of one measured stretch. */
-  seconds: z.coerce.number().positive().default(6),
+  seconds: z.coerce.number().positive().default(10),
   /** Policies to compare, separated by commas. */
   policy: z
     .string()
@@ -21,6 +21,11 @@
     .string()
     .default('1000,3000')
     .transform((list) => list.split(',').map(Number)),
+  /** Fleet sizes of control-cost, separated by commas. */
+  sizes: z
+    .string()
+    .default('3,9,17,33')
+    .transform((list) => list.split(',').map(Number)),
   alternations: z.coerce.number().int().min(1).default(5),
 });
 
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -13,3 +13,5 @@
 export { FORWARDING_METRICS } from './metrics';
 export { ConnectionPools } from './connectionPools';
 export { FORWARDING_EVENTS } from './events';
+export { KeyedCalls } from './keyedCalls';
+export { SuspectCalls } from './suspectCalls';
