--- a/measure/harness/managedProcess.ts
+++ b/measure/harness/managedProcess.ts
@@ -13,6 +13,7 @@
     private readonly child: ChildProcess,
     /** The output line that showed that the process was ready. */
     readonly readyLine: string,
+    private readonly output: { lastLine: string },
   ) {}
 
   /** Starts a script and waits for an output line that contains `ready`. */
@@ -25,7 +26,7 @@
       stdio: ['ignore', 'pipe', 'inherit'],
     });
     const lines = createInterface({ input: child.stdout });
-    let lastLine = '';
+    const output = { lastLine: '' };
     const line = await new Promise<string>((resolve, reject) => {
       const timer = setTimeout(
         () => reject(new Error(`${script} was not ready in time`)),
@@ -33,10 +34,10 @@
       );
       child.once('exit', (code) => {
         clearTimeout(timer);
-        reject(new Error(`${script} exited with ${code}: ${lastLine}`));
+        reject(new Error(`${script} exited with ${code}: ${output.lastLine}`));
       });
       lines.on('line', (text) => {
-        lastLine = text;
+        output.lastLine = text;
         if (!text.includes(ready)) return;
         clearTimeout(timer);
         resolve(text);
@@ -45,7 +46,12 @@
       child.kill('SIGKILL');
       throw error;
     });
-    return new ManagedProcess(child, line);
+    return new ManagedProcess(child, line, output);
+  }
+
+  /** The last line of output so far, for error messages. */
+  get lastLine(): string {
+    return this.output.lastLine;
   }
 
   get pid(): number {
--- a/measure/harness/testFleet.ts
+++ b/measure/harness/testFleet.ts
@@ -81,6 +81,8 @@
       port: targets.portOf(id),
       slots: service.slots,
       coldMs,
+      // Without a cold period the targets count as warm at once, so that runs need no long ramp.
+      coldLimit: coldMs === undefined ? service.slots : 1,
     })),
   };
 }
@@ -157,7 +159,10 @@
     for (const base of this.bases) {
       for (const { name } of services) {
         while (!(await TestFleet.answers(`${base}/${name}/ready-check`))) {
-          if (performance.now() > limit) throw new Error(`${base} did not serve ${name} in time`);
+          if (performance.now() > limit) {
+            const logs = this.gateways.map(({ lastLine }) => lastLine).join('\n');
+            throw new Error(`${base} did not serve ${name} in time; last log lines:\n${logs}`);
+          }
           await new Promise((resolve) => {
             setTimeout(resolve, READY_POLL_MS);
           });
