Let a stopped gateway exit: cancel the timer that bounded its handover

Cause: shutDown raced the handover against a timer up to the stop deadline and left the timer behind, so a stopped process stayed for 150 s; a leave without a quorum was bounded by the same deadline. The configuration watcher also proposed sheets before the host was established. Change: the timer is cancelled, leaving is bounded to 5 s, the watcher starts when the host is ready.

--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -10,12 +10,14 @@
 import { shutDown } from './shutDown';
 import { type ShutdownSteps } from './shutdownPlan';
 import { startOperators } from './startOperators';
-import { startPlatformReaders } from './startPlatformReaders';
+import { startPlatformReaders, startWatching } from './startPlatformReaders';
 import { startProbing } from './startProbing';
 import { startWarnings } from './startWarnings';
 import { type StopSignals } from './stopSignals';
 
 const READY_POLL_MS = 50;
+// A host that cannot reach a majority cannot leave; the others remove it once it is silent.
+const LEAVE_LIMIT_MS = 5000;
 const EXIT_FAILURE = 1;
 
 async function reportReady(
@@ -38,7 +40,7 @@
   };
   const steps: ShutdownSteps = {
     markNotReady: () => events.emit(GATEWAY_EVENTS.stopping),
-    leaveFleet: (deadline) => fleet.leave(deadline),
+    leaveFleet: (deadline) => fleet.leave(Math.min(deadline, now + LEAVE_LIMIT_MS)),
     closeConnectionsWithAnswers: () => gateway.closeConnectionsWithAnswers(),
     stopAccepting: () => gateway.stopAccepting(),
     callsInFlight: () => gateway.callsInFlight(),
@@ -71,6 +73,7 @@
     return EXIT_FAILURE;
   }
   if (await reportReady(fleet, clock, first)) {
+    startWatching(watcher, running);
     events.emit(GATEWAY_EVENTS.ready, { epoch: fleet.view()?.record.epoch });
   }
   if (!first.aborted) await once(first, 'abort');
--- a/src/gateway/shutDown.ts
+++ b/src/gateway/shutDown.ts
@@ -15,6 +15,20 @@
   }
 }
 
+/** Waits for the handover; a host that cannot leave must not keep its process alive. */
+async function waitForHandover(
+  handedOver: Promise<void>,
+  clock: Clock,
+  stopBy: number,
+  urgent: AbortSignal,
+): Promise<void> {
+  const ended = new AbortController();
+  const signal = AbortSignal.any([ended.signal, urgent]);
+  await Promise.race([handedOver, waitUntil(clock, stopBy, signal)]);
+  // A timer that is left behind would keep the process alive until the stop deadline.
+  ended.abort();
+}
+
 /**
  * Stops a gateway without interrupting a call: not ready first, targets handed over, calls
  * accepted until the notice period ends, calls in flight finished, resources closed.
@@ -29,10 +43,9 @@
   const { noticeUntil, stopBy } = deadlines;
   steps.markNotReady();
   steps.closeConnectionsWithAnswers();
-  const handedOver = steps.leaveFleet(stopBy);
+  const handedOver = steps.leaveFleet(stopBy).catch(() => {});
   await waitUntil(clock, Math.min(noticeUntil, stopBy), urgent);
-  // The handover has its own deadline; a failure to leave must not keep the process alive.
-  await Promise.race([handedOver.catch(() => {}), waitUntil(clock, stopBy, urgent)]);
+  await waitForHandover(handedOver, clock, stopBy, urgent);
   steps.stopAccepting();
   await waitForCalls(steps, clock, stopBy, urgent);
   const interruptedCalls = steps.callsInFlight();
--- a/src/gateway/startPlatformReaders.ts
+++ b/src/gateway/startPlatformReaders.ts
@@ -6,7 +6,7 @@
 import { ownTask } from './ownTask';
 import { type Running } from './running';
 
-function startWatcher(running: Running, dispatcher: Agent): ConfigurationWatcher {
+function makeWatcher(running: Running, dispatcher: Agent): ConfigurationWatcher {
   const { fleet, lifecycle, settings } = running;
   const url = settings['configuration-url'];
   const watcher = new ConfigurationWatcher({
@@ -19,11 +19,15 @@
   });
   const forget = fleet.onChange(() => watcher.recordChanged());
   lifecycle.own('configuration listener', forget);
-  ownTask('configuration watcher', watcher, lifecycle);
   return watcher;
 }
 
-/** Starts to read the configuration service and the host list; returns the watcher. */
+/** Starts to watch the configuration service; a host that is not ready cannot propose sheets. */
+export function startWatching(watcher: ConfigurationWatcher, { lifecycle }: Running): void {
+  ownTask('configuration watcher', watcher, lifecycle);
+}
+
+/** Starts to poll the host list, and makes the watcher of the configuration service. */
 export function startPlatformReaders(running: Running, dispatcher: Agent): ConfigurationWatcher {
   const { fleet, gateway, lifecycle, settings } = running;
   const poller = new HostListPoller({
@@ -34,5 +38,5 @@
     onChange: (states) => gateway.router.applyHostList(states),
   });
   ownTask('host list poller', poller, lifecycle);
-  return startWatcher(running, dispatcher);
+  return makeWatcher(running, dispatcher);
 }
--- a/src/runtime/manualClock.ts
+++ b/src/runtime/manualClock.ts
@@ -41,6 +41,11 @@
     this.advanceTo(this.time + milliseconds);
   }
 
+  /** Number of timers that have neither fired nor been cancelled. */
+  pendingTimers(): number {
+    return this.pending.size;
+  }
+
   private earliest(limit: number): PendingTimer | undefined {
     let best: PendingTimer | undefined;
     for (const timer of this.pending) {
--- a/test/fleet/gatewayProcesses.test.ts
+++ b/test/fleet/gatewayProcesses.test.ts
@@ -42,6 +42,7 @@
     'operator-port': host.operatorPort,
     'configuration-url': platformUrl,
     'host-list-url': platformUrl,
+    'notice-period': '200',
     'peer-secret': SECRET,
     'decision-log': '',
     peers,
--- a/test/shutDown.test.ts
+++ b/test/shutDown.test.ts
@@ -47,6 +47,8 @@
   await advance(clock, 20_100);
   expect(await report).toEqual({ interruptedCalls: 0, cutShort: false });
   expect(done.at(-1)).toBe('closed');
+  // A timer left behind kept stopped processes alive until the stop deadline.
+  expect(clock.pendingTimers()).toBe(0);
 });
 
 // Guards against a shutdown that one endless call keeps from ending.
--- a/test/wholePath.test.ts
+++ b/test/wholePath.test.ts
@@ -61,6 +61,7 @@
       'operator-port': String(host.operatorPort),
       'configuration-url': platformUrl,
       'host-list-url': platformUrl,
+      'notice-period': '200',
       'peer-secret': SECRET,
     }),
   );
