Do not let waiting low-class calls hold up flood watch on its way to an owner

Cause: measure overload-priority showed flood watch at p50 431 ms and p99 3,406 ms at 2 times the capacity: relayed calls that wait at an owner filled the 256 connections to it, and later calls of a higher class waited in order of arrival. An entry also passed over its own reserved slots while calls of lower classes were queued. Change: relay connections have no bound of their own (LoadGuard bounds the calls); hasRoomFor counts only waiting calls of the same or a higher class.

--- a/measure/measurements/index.ts
+++ b/measure/measurements/index.ts
@@ -2,13 +2,16 @@
 
 import { addedLatency } from './addedLatency';
 import { coldStart } from './coldStart';
+import { configSpread } from './configSpread';
 import { controlCost } from './controlCost';
 import { failFast } from './failFast';
 import { loadShift } from './loadShift';
 import { overloadPriority } from './overloadPriority';
 import { retryChain } from './retryChain';
 import { scaleChoice } from './scaleChoice';
+import { scaleView } from './scaleView';
 import { stragglers } from './stragglers';
+import { zoneOutAndBack } from './zoneOutAndBack';
 
 /** All measurements by name. */
 export const MEASUREMENTS: Readonly<Record<string, Measurement>> = {
@@ -20,5 +23,8 @@
   'load-shift': loadShift,
   'retry-chain': retryChain,
   'control-cost': controlCost,
+  'zone-out-and-back': zoneOutAndBack,
+  'config-spread': configSpread,
   'scale-choice': scaleChoice,
+  'scale-view': scaleView,
 };
--- a/measure/measurements/zoneOutAndBack.ts
+++ b/measure/measurements/zoneOutAndBack.ts
@@ -31,8 +31,10 @@
   await wait(warmUpMs + options.seconds * 1000);
   const outAt = await orderZone(host, 'zone-out', ZONE, 'measure-out');
   await wait(options.seconds * 1000);
-  const backAt = await orderZone(host, 'zone-back', ZONE, 'measure-back');
-  return { outAt, backAt };
+  // Calls may return before the answer to the order arrives, so its start counts.
+  const backSentAt = performance.timeOrigin + performance.now();
+  const accepted = await orderZone(host, 'zone-back', ZONE, 'measure-back');
+  return { outAt, backAt: accepted === null ? null : backSentAt };
 }
 
 /** Milliseconds from acceptance to the last new call in the zone before it was brought back. */
--- a/src/forwarding/connectionPools.ts
+++ b/src/forwarding/connectionPools.ts
@@ -9,8 +9,8 @@
 export class ConnectionPools {
   private readonly pools = new Map<string, Pool>();
 
-  /** The pool for an address; `connections` bounds its size when it is made. */
-  to(address: string, port: number, connections: number): Pool {
+  /** The pool for an address; `connections` bounds its size when it is made, null does not. */
+  to(address: string, port: number, connections: number | null): Pool {
     const key = `${address}:${port}`;
     let pool = this.pools.get(key);
     if (pool === undefined) {
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -44,7 +44,9 @@
   readonly learn: (service: string, hostId: string, state: PoolState) => void;
 }
 
-const RELAY_CONNECTIONS = 256;
+// Without a bound of its own: calls that wait at an owner hold their connections, and a call of a
+// higher class behind a full set of them would wait in order of arrival. LoadGuard bounds the calls.
+const RELAY_CONNECTIONS = null;
 // The owner's deadline lies this much before the entry's, so that its "not run" still arrives.
 const ANSWER_MARGIN_MS = 5;
 
--- a/src/routing/servicePool.ts
+++ b/src/routing/servicePool.ts
@@ -78,8 +78,10 @@
   /** True when a call of this class would get a slot of a trusted target at once. */
   hasRoomFor(call: CallTraits): boolean {
     const now = this.now();
-    if (this.queue.size > 0 || !this.targets.hasTrustedRoom(now)) return false;
-    return !this.isHeldToReserve(this.context.ranks().of(call.class), now);
+    const rank = this.context.ranks().of(call.class);
+    // Calls of lower classes that wait do not stand in the way of this one.
+    if (this.queue.ahead(rank) > 0 || !this.targets.hasTrustedRoom(now)) return false;
+    return !this.isHeldToReserve(rank, now);
   }
 
   /** Median answer time of the service in milliseconds; 0 when not known. */
