--- a/scripts/docs/index.ts
+++ b/scripts/docs/index.ts
@@ -2,6 +2,7 @@
 
 import { type EventDefinition, type MetricDefinition } from '../../src';
 
+import { capacityPage } from './capacityPage';
 import { readCatalogue } from './catalogue';
 import { eventsPage } from './eventsPage';
 import { metricsPage } from './metricsPage';
@@ -17,5 +18,6 @@
     ['sheet.md', sheetPage()],
     ['events.md', eventsPage(events)],
     ['metrics.md', metricsPage(metrics)],
+    ['CAPACITY.md', capacityPage()],
   ]);
 }
