Share the repeating timer and the gateway command line instead of copying them

Cause: reading the whole change again, the metrics flush and the warnings had the same re-arming timer, and the demo, the measurements and two process tests each listed the same gateway settings. Change: runEvery in runtime and gatewayFlags in the stand-ins serve all of them; no behaviour, bound or assertion changes.

--- a/demo/startDemoGateway.ts
+++ b/demo/startDemoGateway.ts
@@ -16,7 +16,7 @@
 } from '../src';
 import { openFleet } from '../src/gateway/openFleet';
 import { RouterHandover } from '../src/gateway/routerHandover';
-import { type SheetHost } from '../standins';
+import { gatewayFlags, type SheetHost } from '../standins';
 
 /** A gateway in the process of the demo. */
 export interface DemoGateway {
@@ -26,21 +26,13 @@
 }
 
 function settingsOf(host: SheetHost, platformUrl: string) {
-  const flags = {
-    'host-id': host.id,
-    zone: host.zone,
-    'caller-port': host.callerPort,
-    'relay-port': host.relayPort,
-    'peer-port': host.peerPort,
-    'operator-port': host.operatorPort,
-    'configuration-url': platformUrl,
-    'host-list-url': platformUrl,
+  const flags = gatewayFlags(host, platformUrl, {
     'peer-secret': 'a-secret-for-the-demo-only',
     'log-level': 'warn',
     'notice-period': 0,
-  };
+  });
   return readSettings(GATEWAY_SETTINGS, {
-    arguments: Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, String(value)]),
+    arguments: flags,
     environment: {},
   }).unwrap().values;
 }
--- a/measure/harness/gatewayProcess.ts
+++ b/measure/harness/gatewayProcess.ts
@@ -1,6 +1,6 @@
 import { join } from 'node:path';
 
-import { type SheetHost } from '../../standins';
+import { gatewayFlags, type SheetHost } from '../../standins';
 
 import { ManagedProcess } from './managedProcess';
 
@@ -21,15 +21,7 @@
   host: SheetHost,
   options: GatewayOptions,
 ): Promise<ManagedProcess> {
-  const flags = {
-    'host-id': host.id,
-    zone: host.zone,
-    'caller-port': host.callerPort,
-    'relay-port': host.relayPort,
-    'peer-port': host.peerPort,
-    'operator-port': host.operatorPort,
-    'configuration-url': options.platformUrl,
-    'host-list-url': options.platformUrl,
+  const flags = gatewayFlags(host, options.platformUrl, {
     'peer-secret': SECRET,
     policy: options.policy,
     'random-seed': options.seed,
@@ -37,7 +29,6 @@
     // Runs end with a stop of all gateways, for which no balancer has to be given notice.
     'notice-period': 0,
     'stop-limit': 5000,
-  };
-  const list = Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, String(value)]);
-  return ManagedProcess.start(GATEWAY, list, 'gateway ready');
+  });
+  return ManagedProcess.start(GATEWAY, flags, 'gateway ready');
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,7 +22,7 @@
 import { OutcomeRecorder } from '../outcomes';
 import { type PeerTransport } from '../peer';
 import { Router } from '../routing';
-import { type Clock, type Random, type Timer } from '../runtime';
+import { type Clock, type Random, runEvery } from '../runtime';
 import { type GatewaySettings } from '../settings';
 import { Suspects } from '../suspects';
 
@@ -104,19 +104,6 @@
 
 const METRICS_INTERVAL_MS = 1000;
 
-/** Flushes the forwarding metrics every second; returns the function that ends it. */
-function startFlushing(context: ForwarderContext, clock: Clock): () => void {
-  let timer: Timer;
-  const arm = () => {
-    timer = clock.setTimer(clock.now() + METRICS_INTERVAL_MS, () => {
-      context.metrics.flush();
-      arm();
-    });
-  };
-  arm();
-  return () => timer.cancel();
-}
-
 /** Runs callers' calls, those with an idempotency key only under a claim. */
 function entryRun(
   { transport }: GatewayParts,
@@ -161,7 +148,10 @@
   );
   context.loadGuard.start();
   lifecycle.own('event-loop samples', () => context.loadGuard.stop());
-  lifecycle.own('metrics flush', startFlushing(context, parts.clock));
+  lifecycle.own(
+    'metrics flush',
+    runEvery(parts.clock, METRICS_INTERVAL_MS, () => context.metrics.flush()),
+  );
   const { address } = settings;
   const relayPort = await listen(relay.server, address, settings['relay-port'], lifecycle);
   const callerPort = relayPort.ok
--- a/src/gateway/startWarnings.ts
+++ b/src/gateway/startWarnings.ts
@@ -1,5 +1,5 @@
 import { type ConfigurationWatcher } from '../fleet';
-import { type Timer } from '../runtime';
+import { runEvery } from '../runtime';
 import { type Observation, WarningBoard } from '../warnings';
 
 import { type Running } from './running';
@@ -27,14 +27,9 @@
   const { clock, lifecycle, settings } = running;
   const hostId = settings['host-id'];
   const board = new WarningBoard({ ...running, hostId, observe: () => observe(running, watcher) });
-  let timer: Timer;
-  const arm = () => {
-    timer = clock.setTimer(clock.now() + EVALUATION_INTERVAL_MS, () => {
-      board.evaluate();
-      arm();
-    });
-  };
-  arm();
-  lifecycle.own('warnings', () => timer.cancel());
+  lifecycle.own(
+    'warnings',
+    runEvery(clock, EVALUATION_INTERVAL_MS, () => board.evaluate()),
+  );
   return board;
 }
--- a/standins/index.ts
+++ b/standins/index.ts
@@ -14,3 +14,4 @@
   type SheetTarget,
 } from './sheetText';
 export { freePort } from './freePort';
+export { gatewayFlags } from './gatewayFlags';
--- a/test/fleet/gatewayProcesses.test.ts
+++ b/test/fleet/gatewayProcesses.test.ts
@@ -13,6 +13,7 @@
 import { parseSheet } from '../../src/sheet';
 import {
   freePort,
+  gatewayFlags,
   PlatformStandin,
   type SheetHost,
   sheetText,
@@ -33,22 +34,13 @@
 }
 
 function startGateway(host: SheetHost, platformUrl: string, peers: string): ChildProcess {
-  const flags = {
-    'host-id': host.id,
-    zone: host.zone,
-    'caller-port': host.callerPort,
-    'relay-port': host.relayPort,
-    'peer-port': host.peerPort,
-    'operator-port': host.operatorPort,
-    'configuration-url': platformUrl,
-    'host-list-url': platformUrl,
+  const flags = gatewayFlags(host, platformUrl, {
     'notice-period': '200',
     'peer-secret': SECRET,
     'decision-log': '',
     peers,
-  };
-  const list = Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, String(value)]);
-  return spawn(process.execPath, [GATEWAY, ...list], { stdio: ['ignore', 'pipe', 'inherit'] });
+  });
+  return spawn(process.execPath, [GATEWAY, ...flags], { stdio: ['ignore', 'pipe', 'inherit'] });
 }
 
 function ready(gateway: ChildProcess): Promise<void> {
--- a/test/wholePath.test.ts
+++ b/test/wholePath.test.ts
@@ -4,14 +4,13 @@
 
 import { request } from 'undici';
 
-import { freePort, PlatformStandin, sheetText, TargetStandin } from '../standins';
+import { freePort, gatewayFlags, PlatformStandin, sheetText, TargetStandin } from '../standins';
 
 const GATEWAY = join(__dirname, '..', 'bin', 'limpetknot-gateway.js');
 const SECRET = 'a-secret-for-tests-only';
 
-function startGateway(flags: Readonly<Record<string, string>>): ChildProcess {
-  const list = Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, value]);
-  return spawn(process.execPath, [GATEWAY, ...list], { stdio: ['ignore', 'pipe', 'inherit'] });
+function startGateway(flags: readonly string[]): ChildProcess {
+  return spawn(process.execPath, [GATEWAY, ...flags], { stdio: ['ignore', 'pipe', 'inherit'] });
 }
 
 async function started(gateway: ChildProcess): Promise<void> {
@@ -52,18 +51,7 @@
   );
   const platformUrl = await platform.start();
   const gateways = hosts.map((host) =>
-    startGateway({
-      'host-id': host.id,
-      zone: host.zone,
-      'caller-port': String(host.callerPort),
-      'relay-port': String(host.relayPort),
-      'peer-port': String(host.peerPort),
-      'operator-port': String(host.operatorPort),
-      'configuration-url': platformUrl,
-      'host-list-url': platformUrl,
-      'notice-period': '200',
-      'peer-secret': SECRET,
-    }),
+    startGateway(gatewayFlags(host, platformUrl, { 'notice-period': 200, 'peer-secret': SECRET })),
   );
   try {
     await Promise.all(gateways.map(started));
