--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,7 +10,7 @@
   'metrics',
   'settings',
   'sheet',
-  'platform',
+  'published',
   'peer',
   'fleet',
   'outcomes',
--- /dev/null
+++ b/src/balancer/balancerAdapter.ts
@@ -0,0 +1,11 @@
+import { type CallProtocol } from '../delivery';
+import { type EventSink } from '../logging';
+import { type Clock } from '../runtime';
+import { type CatalogSource } from '../source';
+
+/** What a balancer needs of the surroundings that it is adapted to. */
+export interface BalancerAdapter {
+  readonly protocol: CallProtocol;
+  /** Opens the catalog source at an address `IP:port`. */
+  openSource(address: string, clock: Clock, events: EventSink): CatalogSource;
+}
--- /dev/null
+++ b/src/balancer/coldShare.ts
@@ -0,0 +1,28 @@
+import { rendezvousOrder } from '../runtime';
+
+// Hosts that may be at work without being heard: today's fleets have up to 20 with their spares.
+export const SMALLEST_FLEET = 20;
+
+/** What a host knows of the fleet when it decides about a cold target. */
+export interface FleetSize {
+  readonly hostId: string;
+  /** Live hosts, this one included. */
+  readonly hosts: readonly string[];
+  /** Most hosts that were live at the same time. */
+  readonly largest: number;
+}
+
+/**
+ * Calls a second that this host may send to a cold target that carries `rate` in all. In a small
+ * fleet each host has the same whole share, whoever else is at work; in a larger one the first hosts
+ * in the order of the target have one call each, and a host that hears less than half of the fleet
+ * has none, since others may take its place.
+ */
+export function coldShare(target: string, rate: number, fleet: FleetSize): number {
+  const assumed = Math.max(SMALLEST_FLEET, fleet.largest);
+  const share = Math.floor(rate / assumed);
+  if (share >= 1) return share;
+  if (fleet.hosts.length * 2 < fleet.largest) return 0;
+  const order = rendezvousOrder(target, fleet.hosts).slice(0, Math.floor(rate));
+  return order.includes(fleet.hostId) ? 1 : 0;
+}
--- /dev/null
+++ b/src/balancer/events.ts
@@ -0,0 +1,21 @@
+import { defineEvents } from '../logging';
+
+/** Events of a balancer process. */
+export const BALANCER_EVENTS = defineEvents(2300, {
+  started: { number: 2300, level: 'info', message: 'balancer started' },
+  ready: { number: 2301, level: 'info', message: 'balancer is ready for callers' },
+  stopping: { number: 2302, level: 'info', message: 'balancer is stopping' },
+  listenerClosed: { number: 2303, level: 'info', message: 'no new connections are accepted' },
+  stopped: { number: 2304, level: 'info', message: 'balancer stopped' },
+  reloaded: { number: 2305, level: 'info', message: 'settings file was read again' },
+  reloadFailed: { number: 2306, level: 'warn', message: 'settings file has mistakes' },
+  startFailed: { number: 2307, level: 'error', message: 'balancer could not start' },
+  catalogChanged: { number: 2308, level: 'info', message: 'catalog in force changed' },
+  targetLost: { number: 2309, level: 'info', message: 'target is taken as lost' },
+  targetSound: { number: 2310, level: 'info', message: 'target is confirmed sound' },
+  targetCold: { number: 2311, level: 'info', message: 'target is taken as cold' },
+  interrupted: { number: 2312, level: 'warn', message: 'calls were cut off by the end of the grace' },
+  closeFailed: { number: 2313, level: 'warn', message: 'resource did not close' },
+  linesDropped: { number: 2314, level: 'warn', message: 'log lines were dropped' },
+  unexpected: { number: 2315, level: 'error', message: 'unexpected error' },
+});
--- /dev/null
+++ b/src/balancer/index.ts
@@ -0,0 +1,5 @@
+export { runBalancer, type BalancerCommand } from './runBalancer';
+export { type BalancerAdapter } from './balancerAdapter';
+export { Balancer, type BalancerParts } from './balancer';
+export { BALANCER_EVENTS } from './events';
+export { BALANCER_METRICS } from './metrics';
--- /dev/null
+++ b/src/balancer/metrics.ts
@@ -0,0 +1,78 @@
+import { defineMetrics } from '../metrics';
+
+/** Metrics of a balancer process. */
+export const BALANCER_METRICS = defineMetrics({
+  calls: {
+    name: 'balancer.calls',
+    kind: 'counter',
+    unit: 'calls',
+    description: 'Calls by route and end.',
+  },
+  callTime: {
+    name: 'balancer.call_time',
+    kind: 'timing',
+    unit: 'ms',
+    description: 'Time from the arrival of a call to its final answer, by route.',
+  },
+  attempts: {
+    name: 'balancer.attempts',
+    kind: 'counter',
+    unit: 'attempts',
+    description: 'Attempts at targets, by service.',
+  },
+  attemptTime: {
+    name: 'balancer.attempt_time',
+    kind: 'timing',
+    unit: 'ms',
+    description: 'Time from sending a call to the start of its answer, by service.',
+  },
+  repeats: {
+    name: 'balancer.repeats',
+    kind: 'counter',
+    unit: 'attempts',
+    description: 'Attempts drawn from the retry budget, by service.',
+  },
+  connections: {
+    name: 'balancer.connections_opened',
+    kind: 'counter',
+    unit: 'connections',
+    description: 'Connections opened to targets.',
+  },
+  probes: {
+    name: 'balancer.probes',
+    kind: 'counter',
+    unit: 'probes',
+    description: 'Probes of targets.',
+  },
+  reads: {
+    name: 'balancer.source_answers',
+    kind: 'counter',
+    unit: 'answers',
+    description: 'Answers of the catalog source to this host.',
+  },
+  hosts: { name: 'balancer.hosts', kind: 'gauge', unit: 'hosts', description: 'Other live hosts.' },
+  asOf: {
+    name: 'balancer.catalog_revision',
+    kind: 'gauge',
+    unit: 'revision',
+    description: 'Revision up to which the catalog is complete.',
+  },
+  targets: {
+    name: 'balancer.targets',
+    kind: 'gauge',
+    unit: 'targets',
+    description: 'Targets in the catalog, by state.',
+  },
+  loopDelay: {
+    name: 'balancer.loop_delay',
+    kind: 'timing',
+    unit: 'ms',
+    description: 'How late a timer of 100 ms fires.',
+  },
+  linesDropped: {
+    name: 'balancer.log_lines_dropped',
+    kind: 'gauge',
+    unit: 'lines',
+    description: 'Log lines dropped since the start, because the output did not take them.',
+  },
+});
--- /dev/null
+++ b/src/balancer/runBalancer.ts
@@ -0,0 +1,120 @@
+import { Lifecycle } from '../lifecycle';
+import { BufferedWriter, LineLog } from '../logging';
+import { TextSink } from '../metrics';
+import { SeededRandom, SystemClock } from '../runtime';
+import {
+  BALANCER_SETTINGS,
+  type BalancerSettings,
+  formatSettingsError,
+  helpText,
+  readSettings,
+  readSettingsFile,
+} from '../settings';
+
+import { Balancer } from './balancer';
+import { type BalancerAdapter } from './balancerAdapter';
+import { BALANCER_EVENTS } from './events';
+import { openLogOutput } from './logOutput';
+import { watchSettings } from './settingsWatch';
+import { finishCalls } from './stop';
+
+const EXIT_FAILURE = 1;
+const EXIT_USAGE = 2;
+// Lines that wait for a slow reader of the log count as memory of the host.
+const LOG_BUFFER_BYTES = 1024 * 1024;
+
+/** How the process was started. */
+export interface BalancerCommand {
+  readonly arguments: readonly string[];
+  readonly environment: Readonly<Record<string, string | undefined>>;
+  /** Path of the settings file; null when there is none. */
+  readonly settingsFile: string | null;
+}
+
+function readAll(command: BalancerCommand) {
+  const file = command.settingsFile === null ? null : readSettingsFile(command.settingsFile);
+  if (file !== null && file.err) return { errors: [file.val] };
+  const { environment } = command;
+  const source = { arguments: command.arguments, environment, file: file?.val ?? {} };
+  const read = readSettings(BALANCER_SETTINGS, source);
+  return read.ok ? { settings: read.val.values } : { errors: read.val.map(formatSettingsError) };
+}
+
+function stopSignal(): Promise<NodeJS.Signals> {
+  return new Promise((resolve) => {
+    process.once('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
+  });
+}
+
+/** Runs a balancer until it is told to stop; resolves to the exit code. */
+export async function runBalancer(
+  command: BalancerCommand,
+  adapter: BalancerAdapter,
+): Promise<number> {
+  if (command.arguments.includes('--help')) {
+    process.stdout.write(`${helpText(BALANCER_SETTINGS)}\n`);
+    return 0;
+  }
+  const read = readAll(command);
+  if (read.settings === undefined) {
+    process.stderr.write(`${read.errors.join('\n')}\n`);
+    return EXIT_USAGE;
+  }
+  const stopped = stopSignal();
+  return run(command, read.settings, adapter, stopped);
+}
+
+async function run(
+  command: BalancerCommand,
+  first: BalancerSettings,
+  adapter: BalancerAdapter,
+  stopped: Promise<NodeJS.Signals>,
+): Promise<number> {
+  let settings = first;
+  const clock = new SystemClock();
+  const seed = Number(process.hrtime.bigint() % 2n ** 31n);
+  const writer = new BufferedWriter(openLogOutput(), LOG_BUFFER_BYTES);
+  const events = new LineLog(writer, 'limpetknot', settings['host-id'], () => new Date());
+  const lifecycle = new Lifecycle();
+  lifecycle.own('log', () => writer.close());
+  process.on('uncaughtException', (error) => {
+    events.emit(BALANCER_EVENTS.unexpected, { reason: error.message, stack: error.stack });
+  });
+  const started = await Balancer.start({
+    ...{ settings, adapter, clock, events, lifecycle },
+    random: new SeededRandom(seed),
+    metrics: new TextSink(),
+    seeds: () => settings.seeds,
+    droppedLines: () => writer.droppedLines(),
+  });
+  if (started.err) {
+    events.emit(BALANCER_EVENTS.startFailed, { reason: started.val });
+    process.stderr.write(`${started.val}\n`);
+    await lifecycle.close();
+    return EXIT_FAILURE;
+  }
+  const balancer = started.val;
+  events.emit(BALANCER_EVENTS.started, { zone: settings.zone, seed, seeds: settings.seeds });
+  const { settingsFile } = command;
+  if (settingsFile !== null) {
+    const stopWatching = watchSettings(settingsFile, settings['settings-check-ms'], clock, () => {
+      const again = readAll(command);
+      if (again.settings === undefined) {
+        events.emit(BALANCER_EVENTS.reloadFailed, { errors: again.errors });
+        return;
+      }
+      settings = again.settings;
+      events.emit(BALANCER_EVENTS.reloaded, { seeds: settings.seeds });
+    });
+    lifecycle.own('settings watch', stopWatching);
+  }
+  const signal = await stopped;
+  balancer.beginStop();
+  events.emit(BALANCER_EVENTS.stopping, { signal, running: balancer.calls.callsRunning() });
+  const graceMs = settings['stop-grace-s'] * 1000;
+  await finishCalls({ clock, events, calls: balancer.calls, graceMs });
+  events.emit(BALANCER_EVENTS.stopped);
+  await lifecycle.close();
+  return 0;
+}
--- /dev/null
+++ b/src/catalog/catalog.ts
@@ -0,0 +1,19 @@
+import { type Configuration } from './configuration';
+import { type RouteTable } from './routeTable';
+import { type Service } from './service';
+import { type Target } from './target';
+
+/** Everything that routing and forwarding know of what was published; replaced as a whole. */
+export interface Catalog {
+  /** Revision up to which the catalog is complete. */
+  readonly asOf: number;
+  /** Null until the first configuration is known. */
+  readonly configuration: Configuration | null;
+  readonly routes: RouteTable;
+  readonly services: ReadonlyMap<string, Service>;
+  readonly targets: ReadonlyMap<string, Target>;
+  /** Targets by service, in order of their ids. */
+  readonly targetsByService: ReadonlyMap<string, readonly Target[]>;
+  /** Zones whose targets get no new calls. */
+  readonly zonesOut: ReadonlySet<string>;
+}
--- /dev/null
+++ b/src/catalog/index.ts
@@ -0,0 +1,14 @@
+export { type Route } from './route';
+export { type RoutePart } from './routePart';
+export { type Service } from './service';
+export { type Target, type TargetState } from './target';
+export { type CallerLimits } from './callerLimits';
+export { type Configuration } from './configuration';
+export { type CatalogFact } from './catalogFact';
+export { type CatalogRecord } from './catalogRecord';
+export { type CatalogChanges } from './catalogChanges';
+export { type Catalog } from './catalog';
+export { RouteTable } from './routeTable';
+export { buildCatalog } from './buildCatalog';
+export { Ledger } from './ledger';
+export { encodeChanges, decodeChanges } from './changesCodec';
--- /dev/null
+++ b/src/delivery/answerHead.ts
@@ -0,0 +1,10 @@
+import { type IncomingHttpHeaders } from 'node:http';
+
+import { type AnswerFacts } from './answerFacts';
+
+/** Start of a target's answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly facts: AnswerFacts;
+}
--- /dev/null
+++ b/src/delivery/callerAnswer.ts
@@ -0,0 +1,97 @@
+import { type ServerResponse } from 'node:http';
+
+import { type RefusalReason } from '../placement';
+
+import { type ReceivedAnswer } from './attemptResult';
+import { type CallProtocol } from './callProtocol';
+
+/** Statuses of this host's own answers, by what they promise. */
+export type OwnAnswer =
+  /** Not run, and never will be. */
+  | { readonly kind: 'notRun'; readonly reason: RefusalReason; readonly retryAfterMs: number }
+  /** May have run: 502 when the target gave no usable answer, 504 when time ran out. */
+  | { readonly kind: 'unknown'; readonly status: 502 | 504; readonly detail: string }
+  /** The request itself is at fault. */
+  | { readonly kind: 'rejected'; readonly status: 400 | 404 | 413; readonly detail: string };
+
+const HOP_BY_HOP = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length', 'trailer', 'upgrade']);
+
+function problem(type: string, status: number, title: string): Buffer {
+  const document = { type: `urn:limpetknot:problem:${type}`, status, title };
+  return Buffer.from(JSON.stringify(document), 'utf8');
+}
+
+/** Writes the one final answer of a call to its caller. */
+export class CallerAnswer {
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly protocol: CallProtocol,
+    private readonly isStopping: () => boolean,
+  ) {}
+
+  /** False when the caller has left or was answered. */
+  isOpen(): boolean {
+    return !this.response.destroyed && !this.response.writableEnded;
+  }
+
+  /** Passes on a target's answer; resolves to false when a long answer broke off. */
+  async deliver(answer: ReceivedAnswer): Promise<boolean> {
+    const { head, chunks, rest } = answer;
+    const headers = this.connectionHeaders();
+    for (const [name, value] of Object.entries(head.headers)) {
+      if (value === undefined || HOP_BY_HOP.has(name)) continue;
+      if (this.protocol.internalAnswerHeaders.has(name)) continue;
+      headers[name] = value;
+    }
+    if (rest === null) {
+      const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+      this.setLength(headers, head.status, head.headers['content-length'], body.length);
+      this.response.writeHead(head.status, headers);
+      this.response.end(body);
+      return true;
+    }
+    const length = head.headers['content-length'];
+    if (length !== undefined) headers['content-length'] = length;
+    this.response.writeHead(head.status, headers);
+    for (const chunk of chunks) this.response.write(chunk);
+    const isWhole = await rest.pipeTo(this.response);
+    if (isWhole) this.response.end();
+    else this.response.destroy();
+    return isWhole;
+  }
+
+  /** Answers in the host's own name. */
+  answer(own: OwnAnswer, callId: string): void {
+    const headers = this.connectionHeaders();
+    headers['content-type'] = 'application/problem+json';
+    if (callId !== '') headers[this.protocol.callIdHeader] = callId;
+    let status: number;
+    let body: Buffer;
+    if (own.kind === 'notRun') {
+      status = 503;
+      headers[this.protocol.retryAfterHeader] = (own.retryAfterMs / 1000).toFixed(3);
+      body = problem('not-run', status, `not run: ${own.reason}`);
+    } else {
+      status = own.status;
+      body = problem(own.kind === 'unknown' ? 'outcome-unknown' : 'rejected', status, own.detail);
+    }
+    headers['content-length'] = String(body.length);
+    this.response.writeHead(status, headers);
+    this.response.end(body);
+  }
+
+  private connectionHeaders(): Record<string, string | string[]> {
+    return this.isStopping() ? { connection: 'close' } : {};
+  }
+
+  private setLength(
+    headers: Record<string, string | string[]>,
+    status: number,
+    announced: string | undefined,
+    length: number,
+  ): void {
+    const hasNoBody = status === 204 || status === 304 || this.response.req.method === 'HEAD';
+    if (!hasNoBody) headers['content-length'] = String(length);
+    else if (announced !== undefined) headers['content-length'] = announced;
+  }
+}
--- /dev/null
+++ b/src/delivery/index.ts
@@ -0,0 +1,16 @@
+export { type AnswerFacts, type TargetLoad } from './answerFacts';
+export { type CallProtocol } from './callProtocol';
+export { type IncomingCall } from './incomingCall';
+export { Attempt } from './attempt';
+export { TargetConnection } from './targetConnection';
+export { ConnectionTable } from './connectionTable';
+export { Placer, type PlacerParts } from './placer';
+export { CrashGuard, type CrashTeller } from './crashGuard';
+export { Delivery, type DeliveryParts, type DeliveryCounters } from './delivery';
+export { CallRun } from './callRun';
+export { type CallEnd } from './callEnd';
+export { CallServer, type CallObserver } from './callServer';
+export { ProbeTable, type ProbingHosts } from './probeTable';
+export { type ProbeParts } from './probeTask';
+export { WeightedChoice } from './weightedChoice';
+export { DELIVERY_EVENTS } from './events';
--- /dev/null
+++ b/src/delivery/outgoingRequest.ts
@@ -0,0 +1,10 @@
+import { type Readable } from 'node:stream';
+
+/** A request as it is sent to a target. */
+export interface OutgoingRequest {
+  readonly method: string;
+  readonly path: string;
+  /** Names and values by turns. */
+  readonly headers: readonly string[];
+  readonly body: Buffer | Readable | null;
+}
--- /dev/null
+++ b/src/delivery/placer.ts
@@ -0,0 +1,148 @@
+import { type Catalog, type Target } from '../catalog';
+import { type KnowledgeTable, type TargetKnowledge, type WorkEstimates } from '../knowledge';
+import {
+  type CallNeeds,
+  type Candidate,
+  chooseTarget,
+  ColdAllowance,
+  type Placement,
+} from '../placement';
+import { type Clock, type Random } from '../runtime';
+
+import { type IncomingCall } from './incomingCall';
+
+/** What the placer reads of its host. */
+export interface PlacerParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly zone: string;
+  readonly catalog: () => Catalog;
+  readonly knowledge: KnowledgeTable;
+  readonly work: WorkEstimates;
+  /** Calls a second that this host may send to a cold target whose service carries `rate`. */
+  readonly coldShare: (target: string, rate: number) => number;
+}
+
+/** Turns what is known into candidates, and applies the decisions of placement to them. */
+export class Placer {
+  private readonly cold: ColdAllowance;
+
+  constructor(private readonly parts: PlacerParts) {
+    this.cold = new ColdAllowance(parts.clock);
+  }
+
+  /** Decides where a call goes now; `used` are targets that it was sent to before. */
+  place(call: IncomingCall, used: ReadonlySet<string>): Placement {
+    const targets = this.usable(call.service, used);
+    const candidates = targets.map((target) => this.candidate(target));
+    const needs = this.needsOf(call);
+    const placement = chooseTarget(candidates, needs, this.parts.random);
+    if (placement.kind !== 'wait') return placement;
+    return this.placeCold(call, candidates, needs) ?? placement;
+  }
+
+  /** Usual time of the work of a call, in milliseconds. */
+  workOf(call: IncomingCall): number {
+    return this.parts.work.get(kindOf(call), call.route.latencyObjectiveMs);
+  }
+
+  /** Takes the time of an answer into the estimate of the work. */
+  noteAnswer(call: IncomingCall, elapsedMs: number, pace: number): void {
+    this.parts.work.note(kindOf(call), call.route.latencyObjectiveMs, elapsedMs, pace);
+  }
+
+  /** 0 for the most urgent priority among the routes of the call's service, 1 for the least. */
+  rankOf(call: IncomingCall): number {
+    const routes = this.parts.catalog().configuration?.routes ?? [];
+    const priorities = new Set<number>();
+    for (const route of routes) {
+      if (route.parts.some((part) => part.service === call.service)) priorities.add(route.priority);
+    }
+    const ordered = [...priorities].sort((left, right) => left - right);
+    const index = ordered.indexOf(call.route.priority);
+    return index <= 0 ? 0 : index / (ordered.length - 1);
+  }
+
+  /** The inputs of a placement, for the log. */
+  explain(placement: Placement): Readonly<Record<string, unknown>> {
+    const { asOf } = this.parts.catalog();
+    if (placement.kind !== 'send') return { asOf };
+    const held = this.parts.knowledge.get(placement.target);
+    if (held === undefined) return { asOf };
+    const now = this.parts.clock.now();
+    return {
+      asOf,
+      pace: held.pace,
+      paceAge: Math.round(now - held.paceAt),
+      load: this.loadOf(held),
+      loadAge: Math.round(now - held.loadAt),
+    };
+  }
+
+  private usable(service: string, used: ReadonlySet<string>): readonly Target[] {
+    const catalog = this.parts.catalog();
+    const targets = catalog.targetsByService.get(service) ?? [];
+    return targets.filter(
+      (target) =>
+        target.state === 'ready' && !catalog.zonesOut.has(target.zone) && !used.has(target.id),
+    );
+  }
+
+  private candidate(target: Target): Candidate {
+    const { clock, knowledge, zone } = this.parts;
+    const held = knowledge.get(target.id)!;
+    const now = clock.now();
+    return {
+      target: target.id,
+      isNear: target.zone === zone,
+      slots: target.slots,
+      load: this.loadOf(held),
+      pace: held.pace,
+      paceAge: now - held.paceAt,
+      failureShare: knowledge.failureShare(held),
+      isIll: held.isIll,
+      isCold: held.coldUntil > now,
+      isUnconfirmed: held.lostAt > held.soundAt,
+    };
+  }
+
+  private loadOf(held: TargetKnowledge): number {
+    return Math.max(held.ownInFlight, held.running + held.waiting + held.ownSinceLoad, 0);
+  }
+
+  private needsOf(call: IncomingCall): CallNeeds {
+    const now = this.parts.clock.now();
+    const { route } = call;
+    return {
+      workMs: this.workOf(call),
+      objectiveMs: route.latencyObjectiveMs,
+      leftMs: call.deadline - now,
+      objectiveLeftMs: call.arrivedAt + route.latencyObjectiveMs - now,
+      isIdempotent: route.isIdempotent,
+      rank: this.rankOf(call),
+    };
+  }
+
+  // Cold targets get only what this host may send to them, and those that may have started again
+  // are treated as cold.
+  private placeCold(
+    call: IncomingCall,
+    candidates: readonly Candidate[],
+    needs: CallNeeds,
+  ): Placement | null {
+    const service = this.parts.catalog().services.get(call.service);
+    const rate = service?.coldRatePerSecond ?? 0;
+    const cold = candidates.filter((candidate) => candidate.isCold && !candidate.isUnconfirmed);
+    for (const candidate of cold) {
+      if (needs.leftMs < needs.workMs) return null;
+      const share = this.parts.coldShare(candidate.target, rate);
+      if (!this.cold.take(candidate.target, share)) continue;
+      return { kind: 'send', target: candidate.target, expectedMs: needs.workMs * 2, reason: 'onlyCold' };
+    }
+    return null;
+  }
+}
+
+function kindOf(call: IncomingCall): string {
+  return `${call.route.name} ${call.service}`;
+}
--- /dev/null
+++ b/src/delivery/readCallBody.ts
@@ -0,0 +1,46 @@
+import { type IncomingMessage } from 'node:http';
+import { Readable } from 'node:stream';
+
+// Bodies up to this size are kept, so that a call can be sent to another target.
+const LARGEST_KEPT_BYTES = 256 * 1024;
+
+/** `left`: the caller closed its connection; `tooLarge`: the body is over the limit. */
+export type CallBody = Buffer | Readable | null | 'left' | 'tooLarge';
+
+async function* joined(
+  start: readonly Buffer[],
+  rest: AsyncIterator<Buffer>,
+  size: number,
+  limit: number,
+): AsyncGenerator<Buffer> {
+  yield* start;
+  let total = size;
+  for (let next = await rest.next(); next.done !== true; next = await rest.next()) {
+    total += next.value.length;
+    if (total > limit) throw new Error('the body is larger than allowed');
+    yield next.value;
+  }
+}
+
+/** Reads a body of up to `limit` bytes: whole when it is short, as a stream when it is long. */
+export async function readCallBody(request: IncomingMessage, limit: number): Promise<CallBody> {
+  const { headers } = request;
+  const announced = headers['content-length'];
+  if (announced === undefined && headers['transfer-encoding'] === undefined) return null;
+  if (announced !== undefined && Number(announced) > limit) return 'tooLarge';
+  const iterator = request[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) {
+      chunks.push(next.value);
+      size += next.value.length;
+      if (size > limit) return 'tooLarge';
+      if (size > LARGEST_KEPT_BYTES) return Readable.from(joined(chunks, iterator, size, limit));
+    }
+  } catch {
+    // The request stream fails only when its caller closes the connection.
+    return 'left';
+  }
+  return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/src/exchange/datagramLink.ts
@@ -0,0 +1,38 @@
+import { createSocket, type Socket } from 'node:dgram';
+
+/** Sends and receives datagrams; tests pass a link in memory. */
+export interface DatagramLink {
+  send(ip: string, bytes: Buffer): void;
+  onDatagram(listener: (bytes: Buffer, fromIp: string) => void): void;
+  close(): Promise<void>;
+}
+
+/** Opens a UDP socket at `ip` and `port`; other hosts use the same port. */
+export function openDatagramLink(
+  ip: string,
+  port: number,
+  onError: (error: Error) => void,
+): Promise<DatagramLink> {
+  const socket: Socket = createSocket('udp4');
+  return new Promise((resolve, reject) => {
+    socket.once('error', reject);
+    socket.bind(port, ip, () => {
+      socket.off('error', reject);
+      socket.on('error', onError);
+      resolve({
+        send: (to, bytes) => {
+          socket.send(bytes, port, to, (error) => {
+            if (error !== null) onError(error);
+          });
+        },
+        onDatagram: (listener) => {
+          socket.on('message', (bytes, from) => listener(bytes, from.address));
+        },
+        close: () =>
+          new Promise((closed) => {
+            socket.close(() => closed());
+          }),
+      });
+    });
+  });
+}
--- /dev/null
+++ b/src/exchange/membership.ts
@@ -0,0 +1,85 @@
+import { type Clock } from '../runtime';
+
+import { type HostAddress } from './hostAddress';
+import { type KnownHost } from './knownHost';
+import { type Heartbeat } from './message';
+
+// Four heartbeats of a zone; a host that died is replaced as prober and reader after this time.
+const SILENT_MS = 900;
+// Hosts of other zones are named by their zones' delegates, which speak less often.
+const FAR_SILENT_MS = 2500;
+
+/** The other hosts of the system that were heard lately; without agreement between hosts. */
+export class Membership {
+  private readonly hosts = new Map<string, KnownHost>();
+
+  private mostSeen = 1;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly self: HostAddress,
+  ) {}
+
+  /** Takes a heartbeat; true when its sender was unknown or has started again. */
+  hear(heartbeat: Heartbeat, fromIp: string): boolean {
+    const [id, zone, ip] = heartbeat.host;
+    if (id === this.self.id || ip !== fromIp) return false;
+    const { incarnation, asOf, source, isLeaving } = heartbeat;
+    const known = this.hosts.get(id);
+    const heardAt = this.clock.now();
+    this.hosts.set(id, {
+      ...{ id, zone, ip, incarnation, asOf, source, isLeaving, heardAt },
+      isDirect: true,
+    });
+    this.noteSize();
+    return known === undefined || !known.isDirect || known.incarnation !== incarnation;
+  }
+
+  /** Notes hosts that another host hears; returns those that were unknown here. */
+  name(members: readonly HostAddress[]): readonly HostAddress[] {
+    const now = this.clock.now();
+    const unknown: HostAddress[] = [];
+    for (const { id, zone, ip } of members) {
+      if (id === this.self.id) continue;
+      const known = this.hosts.get(id);
+      if (known === undefined || !this.isLive(known, now)) {
+        unknown.push({ id, zone, ip });
+        const base = { incarnation: 0, asOf: 0, source: 'idle' as const, isLeaving: false };
+        this.hosts.set(id, { id, zone, ip, ...base, heardAt: now, isDirect: false });
+      } else if (zone !== this.self.zone) this.hosts.set(id, { ...known, heardAt: now });
+    }
+    this.noteSize();
+    return unknown;
+  }
+
+  /** Live hosts other than this one. */
+  live(): readonly KnownHost[] {
+    const now = this.clock.now();
+    return [...this.hosts.values()].filter((host) => this.isLive(host, now));
+  }
+
+  /** Live hosts of this host's zone that it hears itself, other than this one. */
+  neighbours(): readonly KnownHost[] {
+    return this.live().filter((host) => host.zone === this.self.zone && host.isDirect);
+  }
+
+  /** Live hosts of another zone. */
+  inZone(zone: string): readonly KnownHost[] {
+    return this.live().filter((host) => host.zone === zone);
+  }
+
+  /** Most hosts, this one included, that were live at the same time since the start. */
+  largestSize(): number {
+    return this.mostSeen;
+  }
+
+  private isLive(host: KnownHost, now: number): boolean {
+    const silence = host.zone === this.self.zone ? SILENT_MS : FAR_SILENT_MS;
+    return now - host.heardAt < silence;
+  }
+
+  private noteSize(): void {
+    const size = this.live().length + 1;
+    if (size > this.mostSeen) this.mostSeen = size;
+  }
+}
--- a/src/fleet/configurationWatcher.ts
+++ b/src/fleet/configurationWatcher.ts
@@ -2,7 +2,7 @@
 
 import { type EventLog } from '../logging';
 import { type MetricsSink } from '../metrics';
-import { type PlatformError, type PublishedConfiguration } from '../platform';
+import { type PlatformError, type PublishedConfiguration } from '../published';
 import { type Clock, type Random, rendezvousOrder, waitUntil } from '../runtime';
 import { type Sheet } from '../sheet';
 
--- a/src/fleet/hostListPoller.ts
+++ b/src/fleet/hostListPoller.ts
@@ -2,7 +2,7 @@
 
 import { type EventLog } from '../logging';
 import { type MetricsSink } from '../metrics';
-import { type HostList, type PlatformError } from '../platform';
+import { type HostList, type PlatformError } from '../published';
 import { type Clock, type Random, waitUntil } from '../runtime';
 
 import { CONFIGURATION_EVENTS } from './configurationEvents';
--- a/src/gateway/startPlatformReaders.ts
+++ b/src/gateway/startPlatformReaders.ts
@@ -1,7 +1,7 @@
 import { type Agent } from 'undici';
 
 import { ConfigurationWatcher, HostListPoller } from '../fleet';
-import { readConfiguration, readHostList } from '../platform';
+import { readConfiguration, readHostList } from '../published';
 
 import { ownTask } from './ownTask';
 import { type Running } from './running';
--- a/src/gateway/startSheet.ts
+++ b/src/gateway/startSheet.ts
@@ -3,7 +3,7 @@
 import { type SheetSource } from '../fleet';
 import { type EventLog } from '../logging';
 import { type PeerTransport } from '../peer';
-import { readConfiguration } from '../platform';
+import { readConfiguration } from '../published';
 import { type Clock, waitUntil } from '../runtime';
 import { type GatewaySettings } from '../settings';
 import { parseSheet, type Sheet } from '../sheet';
--- a/src/index.ts
+++ b/src/index.ts
@@ -4,7 +4,7 @@
 export * from './metrics';
 export * from './settings';
 export * from './sheet';
-export * from './platform';
+export * from './published';
 export * from './fleet';
 export * from './outcomes';
 export * from './routing';
--- /dev/null
+++ b/src/knowledge/index.ts
@@ -0,0 +1,6 @@
+export { type TargetReport, type TargetSight } from './targetReport';
+export { type TargetKnowledge } from './targetKnowledge';
+export { KnowledgeTable, USUAL_PACE } from './knowledgeTable';
+export { ReportOutbox, type ReportSink } from './reportOutbox';
+export { proberOf } from './proberOf';
+export { WorkEstimates } from './workEstimates';
--- /dev/null
+++ b/src/knowledge/knowledgeTable.ts
@@ -0,0 +1,128 @@
+import { type Catalog, type Target } from '../catalog';
+import { type Clock } from '../runtime';
+
+import { type TargetKnowledge } from './targetKnowledge';
+import { type TargetReport } from './targetReport';
+
+/** Pace of a target of which nothing is known, in percent. */
+export const USUAL_PACE = 100;
+
+// Weight of one more result in the share of failures: about the last eight results count.
+const FAILURE_WEIGHT = 0.12;
+// A target that failed is given the benefit of the doubt again after some seconds.
+const FAILURE_HALF_LIFE_MS = 2000;
+// Reports of one moment cross each other on the way; older ones than this say nothing new.
+const REPORT_JITTER_MS = 2;
+
+/** Observations of targets by this host and by the others, the newest of each kind. */
+export class KnowledgeTable {
+  private readonly known = new Map<string, TargetKnowledge>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** What is known of a target; undefined for one that was never announced. */
+  get(id: string): TargetKnowledge | undefined {
+    return this.known.get(id);
+  }
+
+  /** Follows the catalog: new targets begin unknown, restarted ones anew, missing ones go. */
+  follow(catalog: Catalog): void {
+    for (const target of catalog.targets.values()) {
+      const held = this.known.get(target.id);
+      if (held === undefined || held.startedAt !== target.startedAt) this.begin(target, held);
+      else held.coldUntil = Math.max(held.coldUntil, target.coldUntil);
+    }
+    for (const id of this.known.keys()) if (!catalog.targets.has(id)) this.known.delete(id);
+  }
+
+  /** Takes what another host, a probe or an answer says of a target. */
+  take(report: TargetReport): void {
+    const held = this.known.get(report.target);
+    if (held === undefined) return;
+    const seenAt = this.clock.now() - report.age;
+    if (report.running !== null && seenAt > held.loadAt + REPORT_JITTER_MS) {
+      held.running = report.running;
+      held.waiting = report.waiting ?? 0;
+      held.loadAt = seenAt;
+      held.ownSinceLoad = 0;
+    }
+    if (report.pace !== null && seenAt > held.paceAt) {
+      held.pace = report.pace;
+      held.paceAt = seenAt;
+    }
+    if (report.coldLeft !== null) held.coldUntil = Math.max(held.coldUntil, seenAt + report.coldLeft);
+    this.takeSight(held, report, seenAt);
+  }
+
+  /** Notes that a call of this host was sent to the target. */
+  noteSent(id: string): void {
+    const held = this.known.get(id);
+    if (held === undefined) return;
+    held.ownInFlight += 1;
+    held.ownSinceLoad += 1;
+  }
+
+  /** Notes that a call of this host has ended at the target. */
+  noteEnded(id: string): void {
+    const held = this.known.get(id);
+    if (held === undefined) return;
+    held.ownInFlight = Math.max(0, held.ownInFlight - 1);
+    held.ownSinceLoad -= 1;
+  }
+
+  /** Share of recent calls that failed, with older failures forgiven. */
+  failureShare(held: TargetKnowledge): number {
+    const age = this.clock.now() - held.failureAt;
+    return held.failureShare * 0.5 ** (age / FAILURE_HALF_LIFE_MS);
+  }
+
+  private takeSight(held: TargetKnowledge, report: TargetReport, seenAt: number): void {
+    switch (report.sight) {
+      case 'answer':
+        held.soundAt = Math.max(held.soundAt, seenAt);
+        this.noteResult(held, 0);
+        break;
+      case 'probe':
+        held.soundAt = Math.max(held.soundAt, seenAt);
+        held.isIll = false;
+        break;
+      case 'ill':
+        held.isIll = true;
+        break;
+      case 'failure':
+        this.noteResult(held, 1);
+        break;
+      default:
+        held.lostAt = Math.max(held.lostAt, seenAt);
+    }
+  }
+
+  private noteResult(held: TargetKnowledge, failure: number): void {
+    const share = this.failureShare(held);
+    held.failureShare = share + FAILURE_WEIGHT * (failure - share);
+    held.failureAt = this.clock.now();
+  }
+
+  private begin(target: Target, previous: TargetKnowledge | undefined): void {
+    const now = this.clock.now();
+    this.known.set(target.id, {
+      id: target.id,
+      service: target.service,
+      startedAt: target.startedAt,
+      running: 0,
+      waiting: 0,
+      loadAt: -Infinity,
+      pace: USUAL_PACE,
+      paceAt: -Infinity,
+      ownInFlight: previous?.ownInFlight ?? 0,
+      ownSinceLoad: 0,
+      coldUntil: target.coldUntil,
+      failureShare: 0,
+      failureAt: now,
+      soundAt: -Infinity,
+      // A start that replaces another is first confirmed by a probe.
+      lostAt: previous === undefined ? 0 : now,
+      isIll: false,
+    });
+  }
+}
--- a/src/logging/index.ts
+++ b/src/logging/index.ts
@@ -1,6 +1,8 @@
 export { type EventDefinition, type EventLevel } from './eventDefinition';
 export { defineEvents } from './defineEvents';
 export { EventLog, type EventFields } from './eventLog';
+export { type EventSink } from './eventSink';
+export { LineLog } from './lineLog';
 export { createLogger } from './createLogger';
 export { type Decision } from './decision';
 export { DecisionLog } from './decisionLog';
--- /dev/null
+++ b/src/placement/chooseTarget.ts
@@ -0,0 +1,72 @@
+import { type Random } from '../runtime';
+
+import { type CallNeeds } from './callNeeds';
+import { type Candidate } from './candidate';
+import { expectedTime } from './expectedTime';
+import { type Placement, type PlacementReason } from './placement';
+
+/** Parts of the latency objective that a property of a target is treated as costing. */
+const COST_IN_OBJECTIVES = {
+  // Bytes between zones cost their users money, so a call leaves its zone only to save real time.
+  far: 0.3,
+  // Full failure share; a target that fails every call is used when nothing else is left.
+  failure: 4,
+  // A probe alone may be wrong in both directions: others are preferred, but it excludes nothing.
+  ill: 0.6,
+} as const;
+
+// Hosts that decide in the same few milliseconds do not all take the same target.
+const JITTER = 0.12;
+// A call is sent only where its answer is expected within this share of the time left.
+const USABLE_TIME_SHARE: readonly number[] = [1.5, 1];
+
+interface Rated {
+  readonly candidate: Candidate;
+  readonly expectedMs: number;
+  readonly cost: number;
+}
+
+function rate(candidate: Candidate, needs: CallNeeds, random: Random): Rated {
+  const expectedMs = expectedTime(candidate, needs);
+  const penalties =
+    (candidate.isNear ? 0 : COST_IN_OBJECTIVES.far) +
+    candidate.failureShare * COST_IN_OBJECTIVES.failure +
+    (candidate.isIll ? COST_IN_OBJECTIVES.ill : 0);
+  // Among targets that answer equally soon, the emptier one leaves more room for a change of pace.
+  const occupancy = (candidate.load / candidate.slots) * needs.workMs * 0.25;
+  const time = (expectedMs + occupancy) * (1 + JITTER * random.next());
+  return { candidate, expectedMs, cost: time + penalties * needs.objectiveMs };
+}
+
+function reasonOf(best: Rated, needs: CallNeeds): PlacementReason {
+  if (best.expectedMs > needs.objectiveLeftMs) return 'leastBad';
+  return best.candidate.isNear ? 'quickestNear' : 'quickestFar';
+}
+
+/**
+ * Places a call at the target with the least expected time, as corrected for distance, failures
+ * and chance. Cold targets and those that may have started again take no part here.
+ */
+export function chooseTarget(
+  candidates: readonly Candidate[],
+  needs: CallNeeds,
+  random: Random,
+): Placement {
+  let best: Rated | null = null;
+  let hasCold = false;
+  for (const candidate of candidates) {
+    if (candidate.isCold) hasCold = true;
+    if (candidate.isCold || candidate.isUnconfirmed) continue;
+    const rated = rate(candidate, needs, random);
+    if (best === null || rated.cost < best.cost) best = rated;
+  }
+  if (best === null) return { kind: 'wait', reason: hasCold ? 'allCold' : 'noTarget' };
+  const share = USABLE_TIME_SHARE[Math.min(needs.rank, 1)]!;
+  if (best.expectedMs > needs.leftMs * share) return { kind: 'refuse', reason: 'overloaded' };
+  return {
+    kind: 'send',
+    target: best.candidate.target,
+    expectedMs: best.expectedMs,
+    reason: reasonOf(best, needs),
+  };
+}
--- /dev/null
+++ b/src/placement/index.ts
@@ -0,0 +1,12 @@
+export { type Candidate } from './candidate';
+export { type CallNeeds } from './callNeeds';
+export { type Placement, type PlacementReason } from './placement';
+export { type RefusalReason } from './refusalReason';
+export { expectedTime } from './expectedTime';
+export { chooseTarget } from './chooseTarget';
+export { type AttemptEnd } from './attemptEnd';
+export { decideNext, type NextInput, type NextStep } from './decideNext';
+export { shouldHedge, hedgeInterval, type HedgeInput } from './hedge';
+export { retryAfter } from './retryAfter';
+export { RetryBudget, type RetryBounds } from './retryBudget';
+export { ColdAllowance } from './coldAllowance';
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -8,4 +8,6 @@
 export { type SettingsError, formatSettingsError } from './settingsError';
 export { helpText } from './helpText';
 export { GATEWAY_SETTINGS, type GatewaySettings } from './gatewaySettings';
+export { BALANCER_SETTINGS, type BalancerSettings } from './balancerSettings';
+export { readSettingsFile } from './readSettingsFile';
 export { CONTROL_SETTINGS, type ControlSettings } from './controlSettings';
--- a/src/settings/readSettings.ts
+++ b/src/settings/readSettings.ts
@@ -14,6 +14,8 @@
 export interface SettingsSource {
   readonly arguments: readonly string[];
   readonly environment: Readonly<Record<string, string | undefined>>;
+  /** Settings of a file by flag name; unknown ones are ignored. */
+  readonly file?: Readonly<Record<string, string>>;
 }
 
 /** Checked settings, and the words of the command line that are no flags. */
@@ -22,7 +24,7 @@
   readonly positionals: readonly string[];
 }
 
-/** Reads settings from flags, then from environment variables; reports all mistakes at once. */
+/** Reads settings from flags, environment variables and a file, in this order; reports all mistakes at once. */
 export function readSettings<Table extends SettingTable>(
   table: Table,
   source: SettingsSource,
@@ -47,7 +49,7 @@
   for (const [flag, definition] of Object.entries(table)) {
     const flagValue = flags[flag] === true ? 'true' : flags[flag];
     const variable = definition.isSwitch ? undefined : source.environment[variableOf(flag)];
-    const given = flagValue ?? variable ?? definition.fallback;
+    const given = flagValue ?? variable ?? source.file?.[flag] ?? definition.fallback;
     if (given === null || given === undefined) {
       errors.push({ setting: flag, message: `is required (--${flag} or ${variableOf(flag)})` });
       continue;
