Tell the zone only of changes of load and pace; read the store in larger batches

Cause: each probe went to each neighbour, and each change of the store took a call of each reader. Change: a report leaves when load or pace changed, else every 250 ms; watches of 2.5 s, batches of 350 ms; a target with a free connection is preferred; stand-ins of the store and the servers.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -107,6 +107,7 @@
     const work = new WorkEstimates();
     const placer = new Placer({
       ...{ clock, random, catalog, work, knowledge: this.knowledge, zone: settings.zone },
+      isConnected: (target) => this.delivery.isConnected(target),
       coldShare: (target, rate) => coldShare(target, rate, this.fleetSize()),
     });
     const crashes = new CrashGuard(
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -81,6 +81,11 @@
     this.connections.follow(catalog);
   }
 
+  /** Whether a free connection to a target is open. */
+  isConnected(target: Target): boolean {
+    return this.connections.of(target).hasIdle();
+  }
+
   /** Closes idle connections. */
   close(): void {
     this.connections.close();
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -19,6 +19,8 @@
   readonly catalog: () => Catalog;
   readonly knowledge: KnowledgeTable;
   readonly work: WorkEstimates;
+  /** Whether a free connection to the target is open. */
+  readonly isConnected: (target: Target) => boolean;
   /** Calls a second that this host may send to a cold target whose service carries `rate`. */
   readonly coldShare: (target: string, rate: number) => number;
 }
@@ -101,6 +103,7 @@
       paceAge: now - held.paceAt,
       failureShare: knowledge.failureShare(held),
       isIll: held.isIll,
+      isConnected: this.parts.isConnected(target),
       isCold: held.coldUntil > now,
       isUnconfirmed: held.lostAt > held.soundAt,
     };
--- a/src/delivery/targetConnections.ts
+++ b/src/delivery/targetConnections.ts
@@ -24,6 +24,11 @@
     return this.open;
   }
 
+  /** Whether a connection is open and free. */
+  hasIdle(): boolean {
+    return this.idle.length > 0;
+  }
+
   /** The connection that was used last, or a new one. */
   take(): TargetConnection {
     for (let last = this.idle.pop(); last !== undefined; last = this.idle.pop()) {
--- a/src/exchange/membership.ts
+++ b/src/exchange/membership.ts
@@ -9,12 +9,21 @@
 // Hosts of other zones are named by their zones' delegates, which speak less often.
 const FAR_SILENT_MS = 2500;
 
+// How old the lists of live hosts may be.
+const REFRESH_MS = 50;
+
 /** The other hosts of the system that were heard lately; without agreement between hosts. */
 export class Membership {
   private readonly hosts = new Map<string, KnownHost>();
 
   private mostSeen = 1;
 
+  private liveHosts: readonly KnownHost[] = [];
+
+  private liveNeighbours: readonly KnownHost[] = [];
+
+  private refreshAt = 0;
+
   constructor(
     private readonly clock: Clock,
     private readonly self: HostAddress,
@@ -54,13 +63,14 @@
 
   /** Live hosts other than this one. */
   live(): readonly KnownHost[] {
-    const now = this.clock.now();
-    return [...this.hosts.values()].filter((host) => this.isLive(host, now));
+    this.refresh();
+    return this.liveHosts;
   }
 
   /** Live hosts of this host's zone that it hears itself, other than this one. */
   neighbours(): readonly KnownHost[] {
-    return this.live().filter((host) => host.zone === this.self.zone && host.isDirect);
+    this.refresh();
+    return this.liveNeighbours;
   }
 
   /** Live hosts of another zone. */
@@ -78,7 +88,19 @@
     return now - host.heardAt < silence;
   }
 
+  // The lists are read for each report and each call, and change a few times a second.
+  private refresh(): void {
+    const now = this.clock.now();
+    if (now < this.refreshAt) return;
+    this.refreshAt = now + REFRESH_MS;
+    this.liveHosts = [...this.hosts.values()].filter((host) => this.isLive(host, now));
+    this.liveNeighbours = this.liveHosts.filter(
+      (host) => host.zone === this.self.zone && host.isDirect,
+    );
+  }
+
   private noteSize(): void {
+    this.refreshAt = 0;
     const size = this.live().length + 1;
     if (size > this.mostSeen) this.mostSeen = size;
   }
--- a/src/knowledge/reportOutbox.ts
+++ b/src/knowledge/reportOutbox.ts
@@ -11,6 +11,17 @@
 const FAR_PACE_FACTOR = 1.6;
 const MOST_REPORTS = 12;
 
+// What has not changed by more than this is told only as a sign of life.
+const PACE_FACTOR = 1.2;
+const LOAD_STEP = 2;
+const REFRESH_MS = 250;
+
+interface Told {
+  readonly pace: number;
+  readonly load: number;
+  readonly at: number;
+}
+
 interface Waiting {
   readonly report: TargetReport;
   readonly seenAt: number;
@@ -33,6 +44,8 @@
 
   private readonly lastFarPace = new Map<string, number>();
 
+  private readonly told = new Map<string, Told>();
+
   private nearTimer: Timer | null = null;
 
   private farTimer: Timer | null = null;
@@ -46,6 +59,7 @@
   add(report: TargetReport): void {
     const now = this.clock.now();
     const waiting = { report, seenAt: now - report.age };
+    if (!this.isNearNews(report, now)) return;
     this.near.set(keyOf(report), waiting);
     const stretch = Math.max(1, this.sink.neighbourCount() / REFERENCE_NEIGHBOURS);
     this.nearTimer ??= this.clock.setTimer(now + ZONE_BATCH_MS * stretch, () => {
@@ -60,6 +74,21 @@
     });
   }
 
+  private isNearNews(report: TargetReport, now: number): boolean {
+    if (report.sight !== 'answer' && report.sight !== 'probe') return true;
+    const last = this.told.get(report.target);
+    const pace = report.pace ?? last?.pace ?? 100;
+    const load = report.running === null ? (last?.load ?? 0) : report.running + report.waiting!;
+    if (last !== undefined) {
+      const ratio = pace / last.pace;
+      const isSamePace = ratio < PACE_FACTOR && ratio > 1 / PACE_FACTOR;
+      const isSameLoad = Math.abs(load - last.load) < LOAD_STEP;
+      if (isSamePace && isSameLoad && now - last.at < REFRESH_MS) return false;
+    }
+    this.told.set(report.target, { pace, load, at: now });
+    return true;
+  }
+
   private isFarNews(report: TargetReport): boolean {
     if (report.sight === 'lost' || report.sight === 'failure') return true;
     if ((report.coldLeft ?? 0) > 0) return true;
--- a/src/placement/candidate.ts
+++ b/src/placement/candidate.ts
@@ -14,6 +14,8 @@
   readonly failureShare: number;
   /** The last probe called it ill. */
   readonly isIll: boolean;
+  /** This host has an open connection to it that is free. */
+  readonly isConnected: boolean;
   readonly isCold: boolean;
   /** Nothing good was seen since the target was lost, so that it may have started again. */
   readonly isUnconfirmed: boolean;
--- a/src/placement/chooseTarget.ts
+++ b/src/placement/chooseTarget.ts
@@ -9,6 +9,8 @@
 const COST_IN_OBJECTIVES = {
   // Bytes between zones cost their users money, so a call leaves its zone only to save real time.
   far: 0.3,
+  // A new connection takes one round trip more, and work at the target.
+  unconnected: 0.04,
   // Full failure share; a target that fails every call is used when nothing else is left.
   failure: 4,
   // A probe alone may be wrong in both directions: others are preferred, but it excludes nothing.
@@ -30,6 +32,7 @@
   const expectedMs = expectedTime(candidate, needs);
   const penalties =
     (candidate.isNear ? 0 : COST_IN_OBJECTIVES.far) +
+    (candidate.isConnected ? 0 : COST_IN_OBJECTIVES.unconnected) +
     candidate.failureShare * COST_IN_OBJECTIVES.failure +
     (candidate.isIll ? COST_IN_OBJECTIVES.ill : 0);
   // Among targets that answer equally soon, the emptier one leaves more room for a change of pace.
--- a/src/placement/expectedTime.ts
+++ b/src/placement/expectedTime.ts
@@ -1,8 +1,9 @@
 import { type CallNeeds } from './callNeeds';
 import { type Candidate } from './candidate';
 
-// Pace changes several times a second; after this age the last value is half forgotten.
-const PACE_HALF_LIFE_MS = 400;
+// A change of pace is told at once and an unchanged one every REFRESH_MS of the report outbox; after
+// this age, without either, the last value is half forgotten.
+const PACE_HALF_LIFE_MS = 1200;
 // Mean pace of a target of which nothing fresh is known: some are several times slower.
 const UNKNOWN_PACE = 180;
 // Some targets slow down when their last slot is taken.
--- a/src/runtime/waitUntil.ts
+++ b/src/runtime/waitUntil.ts
@@ -4,15 +4,17 @@
 export function waitUntil(clock: Clock, at: number, signal?: AbortSignal): Promise<void> {
   if (signal?.aborted) return Promise.resolve();
   return new Promise((resolve) => {
-    const ended = new AbortController();
-    const timer = clock.setTimer(at, () => {
-      ended.abort();
-      resolve();
-    });
+    let end: () => void = resolve;
+    const timer = clock.setTimer(at, () => end());
+    if (signal === undefined) return;
     const stop = () => {
       timer.cancel();
+      end();
+    };
+    end = () => {
+      signal.removeEventListener('abort', stop);
       resolve();
     };
-    signal?.addEventListener('abort', stop, { once: true, signal: ended.signal });
+    signal.addEventListener('abort', stop, { once: true });
   });
 }
--- a/src/source/catalogReader.ts
+++ b/src/source/catalogReader.ts
@@ -9,13 +9,13 @@
 import { type SourceError } from './sourceError';
 import { type SourceState } from './sourceState';
 
-// A silent connection is noticed this long plus the grace after the watch began, which keeps a
-// change within the 2 s in which it has to be in force.
-const WATCH_MS = 1000;
+// A silent connection is noticed this long plus the grace after the watch began; each zone has a
+// reader of its own, so that a change reaches the hosts by another one meanwhile.
+const WATCH_MS = 2500;
 const WATCH_GRACE_MS = 350;
 const READ_TIMEOUT_MS = 700;
 // Changes that follow each other closely are read with one call.
-const BATCH_MS = 120;
+const BATCH_MS = 350;
 const FIRST_RETRY_MS = 200;
 const LONGEST_RETRY_MS = 2000;
 // How often a host that need not read looks whether it must.
--- /dev/null
+++ b/standins/store/storeStandin.ts
@@ -0,0 +1,170 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+
+/** How the store treats calls. */
+export type StoreMode = 'well' | 'busy' | 'tooMany' | 'silent' | 'reset' | 'loses';
+
+interface Item {
+  readonly key: string;
+  readonly revision: number;
+  readonly value?: string;
+  readonly deleted?: true;
+}
+
+interface Watch {
+  readonly prefix: string;
+  readonly after: number;
+  readonly response: ServerResponse;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** A small stand-in of the users' platform store: items, pages, watches, and its failures. */
+export class StoreStandin {
+  private readonly items = new Map<string, Item>();
+
+  private history: Item[] = [];
+
+  private revision = 1;
+
+  private horizon = 0;
+
+  private readonly watches = new Set<Watch>();
+
+  private mode: StoreMode = 'well';
+
+  private calls = 0;
+
+  private readonly server: Server;
+
+  /** Items that one page holds. */
+  pageSize = 500;
+
+  constructor() {
+    this.server = createServer((request, response) => this.answer(request, response));
+  }
+
+  /** Listens on loopback; resolves to `IP:port`. */
+  listen(ip = '127.0.0.1'): Promise<string> {
+    return new Promise((resolve) => {
+      this.server.listen(0, ip, () => {
+        const address = this.server.address() as { port: number };
+        resolve(`${ip}:${address.port}`);
+      });
+    });
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    for (const watch of this.watches) clearTimeout(watch.timer);
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** Changes how calls are treated from now on. */
+  behave(mode: StoreMode): void {
+    this.mode = mode;
+  }
+
+  /** Number of calls since the start. */
+  callCount(): number {
+    return this.calls;
+  }
+
+  /** Writes a value as JSON; answers its revision. */
+  put(key: string, value: unknown): number {
+    return this.putBytes(key, Buffer.from(JSON.stringify(value), 'utf8'));
+  }
+
+  /** Writes bytes that need not be JSON. */
+  putBytes(key: string, bytes: Buffer): number {
+    this.revision += 1;
+    return this.change({ key, revision: this.revision, value: bytes.toString('base64') });
+  }
+
+  /** Deletes a key. */
+  remove(key: string): number {
+    this.revision += 1;
+    return this.change({ key, revision: this.revision, deleted: true });
+  }
+
+  /** Drops the history, so that watches from earlier revisions get 410. */
+  forget(): void {
+    this.history = [];
+    this.horizon = this.revision;
+    for (const watch of this.watches) {
+      clearTimeout(watch.timer);
+      watch.response.destroy();
+    }
+    this.watches.clear();
+  }
+
+  private change(item: Item): number {
+    if (item.deleted) this.items.delete(item.key);
+    else this.items.set(item.key, item);
+    this.history.push(item);
+    for (const watch of this.watches) {
+      if (!item.key.startsWith(watch.prefix)) continue;
+      clearTimeout(watch.timer);
+      this.watches.delete(watch);
+      this.tellChanges(watch.prefix, watch.after, watch.response);
+    }
+    return item.revision;
+  }
+
+  private answer(request: IncomingMessage, response: ServerResponse): void {
+    this.calls += 1;
+    if (this.mode === 'silent') return;
+    if (this.mode === 'reset') {
+      request.socket.resetAndDestroy();
+      return;
+    }
+    if (this.mode === 'loses') {
+      request.socket.destroy();
+      return;
+    }
+    if (this.mode !== 'well') {
+      response.writeHead(this.mode === 'busy' ? 503 : 429).end();
+      return;
+    }
+    const url = new URL(request.url ?? '/', 'http://store');
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const after = url.searchParams.get('after') ?? '';
+    if (url.pathname === '/api/kv-range') this.tellPage(prefix, after, response);
+    else if (url.pathname === '/api/kv-watch') {
+      this.watch(prefix, Number(after), Number(url.searchParams.get('wait_ms')), response);
+    } else response.writeHead(404).end();
+  }
+
+  private tellPage(prefix: string, after: string, response: ServerResponse): void {
+    const matching = [...this.items.values()]
+      .filter((item) => item.key.startsWith(prefix) && item.key > after)
+      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    const items = matching.slice(0, this.pageSize);
+    const body = { items, has_more: matching.length > items.length, as_of: this.revision };
+    response.end(JSON.stringify(body));
+  }
+
+  private watch(prefix: string, after: number, waitMs: number, response: ServerResponse): void {
+    if (after < this.horizon) {
+      response.writeHead(410).end();
+      return;
+    }
+    const isNews = this.history.some((item) => item.revision > after && item.key.startsWith(prefix));
+    if (isNews) {
+      this.tellChanges(prefix, after, response);
+      return;
+    }
+    const timer = setTimeout(() => {
+      this.watches.delete(watch);
+      this.tellChanges(prefix, after, response);
+    }, waitMs);
+    const watch: Watch = { prefix, after, response, timer };
+    this.watches.add(watch);
+  }
+
+  private tellChanges(prefix: string, after: number, response: ServerResponse): void {
+    const events = this.history.filter(
+      (item) => item.revision > after && item.key.startsWith(prefix),
+    );
+    response.end(JSON.stringify({ events, as_of: this.revision }));
+  }
+}
--- /dev/null
+++ b/test/support/platformWorld.ts
@@ -0,0 +1,253 @@
+import { request } from 'node:http';
+
+import { platformCalls } from '../../platform/callProtocol';
+import { Store } from '../../platform/store';
+import { Balancer } from '../../src/balancer';
+import { Lifecycle } from '../../src/lifecycle';
+import { type EventDefinition, type EventFields } from '../../src/logging';
+import { TextSink } from '../../src/metrics';
+import { SeededRandom, SystemClock } from '../../src/runtime';
+import { BALANCER_SETTINGS, readSettings } from '../../src/settings';
+import { freePort } from '../../standins';
+import { type ServerOptions, ServerStandin } from '../../standins/server/serverStandin';
+import { StoreStandin } from '../../standins/store/storeStandin';
+
+/** One route of the configuration in a test. */
+export interface TestRoute {
+  readonly prefix: string;
+  readonly service: string;
+  readonly isIdempotent: boolean;
+  readonly timeLimitMs?: number;
+  readonly objectiveMs?: number;
+  readonly priority?: number;
+  readonly mostAttempts?: number;
+  readonly parts?: readonly { service: string; weight: number }[];
+}
+
+/** What a caller got. */
+export interface CallerReply {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  readonly elapsedMs: number;
+}
+
+/** An event that a balancer logged. */
+export interface LoggedEvent {
+  readonly number: number;
+  readonly fields: EventFields;
+}
+
+/** A store, servers and one balancer on loopback, as a test needs them. */
+export class PlatformWorld {
+  readonly store = new StoreStandin();
+
+  readonly servers = new Map<string, ServerStandin>();
+
+  readonly events: LoggedEvent[] = [];
+
+  readonly lifecycle = new Lifecycle();
+
+  balancer: Balancer | null = null;
+
+  callerPort = 0;
+
+  readinessPort = 0;
+
+  controlPort = 0;
+
+  private version = 1;
+
+  private nextCall = 0;
+
+  /** Adds a server of a service and registers it. */
+  async addServer(
+    service: string,
+    options: ServerOptions,
+    entry: { state?: string; coldLeftMs?: number; born?: number; zone?: string } = {},
+  ): Promise<ServerStandin> {
+    const server = new ServerStandin(options);
+    const address = await server.listen();
+    this.servers.set(options.id, server);
+    this.register(service, options, address, entry);
+    return server;
+  }
+
+  /** Writes a server's entry. */
+  register(
+    service: string,
+    options: ServerOptions,
+    address: string,
+    entry: { state?: string; coldLeftMs?: number; born?: number; zone?: string } = {},
+  ): void {
+    this.store.put(`servers/${options.id}`, {
+      address,
+      born: entry.born ?? 1,
+      info: { service, version: 'v1', zone: entry.zone ?? 'a', concurrency: options.slots ?? 6 },
+      status: {
+        state: entry.state ?? 'ready',
+        sequence: 1,
+        warmup_left_ms: entry.coldLeftMs ?? 0,
+      },
+    });
+  }
+
+  /** Publishes a configuration with these routes. */
+  configure(routes: readonly TestRoute[], limits: Readonly<Record<string, number>> = {}): void {
+    this.version += 3;
+    const services = [
+      ...new Set(routes.flatMap((r) => r.parts?.map((part) => part.service) ?? [r.service])),
+    ];
+    this.store.put('op/config', {
+      version: this.version,
+      routes: {
+        columns: [
+          ...['name', 'hostname', 'prefix', 'route_type', 'timeout_ms', 'target_latency_ms'],
+          ...['priority', 'service', 'max_attempts', 'weighted_backends'],
+        ],
+        rows: routes.map((route) => [
+          ...[`r${route.prefix}`, 'test.example', route.prefix],
+          route.isIdempotent ? 'idempotent' : 'non_idempotent',
+          ...[route.timeLimitMs ?? 1000, route.objectiveMs ?? 200, route.priority ?? 0],
+          route.parts === undefined ? route.service : null,
+          route.mostAttempts ?? 2,
+          route.parts ?? null,
+        ]),
+      },
+      services: {
+        columns: ['name', 'health_check_path', 'max_connections', 'protocol', 'tls', 'warmup_s', 'warmup_per_s'],
+        rows: services.map((name) => [name, '/healthz', 100, 'h1', false, 3, 21]),
+      },
+      limits: {
+        ...{ max_header_bytes: 16384, max_body_bytes: 1_000_000 },
+        ...{ header_timeout_ms: 3000, idle_timeout_ms: 15000 },
+        ...limits,
+      },
+    });
+  }
+
+  /** Starts the balancer and waits until it is ready, unless told not to. */
+  async start(options: { waitReady?: boolean; seed?: number } = {}): Promise<void> {
+    const source = await this.store.listen();
+    this.callerPort = await freePort();
+    this.readinessPort = await freePort();
+    this.controlPort = await freePort();
+    const settings = readSettings(BALANCER_SETTINGS, {
+      arguments: [],
+      environment: {},
+      file: {
+        'host-id': 'host-1',
+        zone: 'a',
+        zones: 'a,b',
+        'caller-address': `127.0.0.1:${this.callerPort}`,
+        'readiness-address': `127.0.0.1:${this.readinessPort}`,
+        'control-address': `127.0.0.1:${this.controlPort}`,
+        'exchange-port': String(await freePort()),
+        source,
+        'retry-ratio': '0.2',
+        'retry-slack': '400',
+        'retry-window-s': '0.5',
+        'stop-grace-s': '3',
+      },
+    });
+    const started = await Balancer.start({
+      settings: settings.unwrap().values,
+      seeds: () => [],
+      adapter: {
+        protocol: platformCalls,
+        openSource: (address, clock) => new Store(address, clock),
+      },
+      clock: new SystemClock(),
+      random: new SeededRandom(options.seed ?? 1),
+      events: {
+        emit: (event: EventDefinition, fields: EventFields = {}) =>
+          this.events.push({ number: event.number, fields }),
+      },
+      metrics: new TextSink(),
+      lifecycle: this.lifecycle,
+      droppedLines: () => 0,
+    });
+    this.balancer = started.unwrap();
+    if (options.waitReady === false) return;
+    await this.until(() => this.balancer!.isReady());
+    // The first probes have told what the servers are like.
+    await this.sleep(150);
+  }
+
+  /** Ends everything. */
+  async stop(): Promise<void> {
+    await this.lifecycle.close();
+    this.store.close();
+    for (const server of this.servers.values()) server.crash();
+  }
+
+  /** Waits until `condition` holds; fails after some seconds. */
+  async until(condition: () => boolean): Promise<void> {
+    for (let turn = 0; turn < 500; turn += 1) {
+      if (condition()) return;
+      await this.sleep(10);
+    }
+    throw new Error('the awaited condition did not come about');
+  }
+
+  /** Waits. */
+  sleep(milliseconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      setTimeout(resolve, milliseconds);
+    });
+  }
+
+  /** Sends one call over a connection of its own. */
+  call(
+    method: string,
+    path: string,
+    options: { body?: string; id?: string; timeLeft?: number; hostName?: string; leaveAfter?: number } = {},
+  ): Promise<CallerReply> {
+    this.nextCall += 1;
+    const startedAt = performance.now();
+    return new Promise((resolve, reject) => {
+      const sent = request(
+        {
+          ...{ host: '127.0.0.1', port: this.callerPort, method, path, agent: false },
+          headers: {
+            host: options.hostName ?? 'test.example',
+            'request-id': options.id ?? `call-${this.nextCall}`,
+            'deadline-ms': String(options.timeLeft ?? 2000),
+            ...(options.body === undefined ? {} : { 'content-length': options.body.length }),
+          },
+        },
+        (response) => {
+          const chunks: Buffer[] = [];
+          response.on('data', (chunk: Buffer) => chunks.push(chunk));
+          response.on('error', reject);
+          response.on('end', () =>
+            resolve({
+              status: response.statusCode!,
+              headers: response.headers,
+              body: Buffer.concat(chunks).toString('utf8'),
+              elapsedMs: performance.now() - startedAt,
+            }),
+          );
+        },
+      );
+      sent.on('error', reject);
+      if (options.leaveAfter !== undefined) setTimeout(() => sent.destroy(), options.leaveAfter);
+      sent.end(options.body);
+    });
+  }
+
+  /** Asks for the readiness status. */
+  readiness(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      request(
+        { host: '127.0.0.1', port: this.readinessPort, path: '/readyz', agent: false },
+        (response) => {
+          response.resume();
+          resolve(response.statusCode!);
+        },
+      )
+        .on('error', reject)
+        .end();
+    });
+  }
+}
