--- a/src/delivery/attempt.ts
+++ b/src/delivery/attempt.ts
@@ -26,8 +26,6 @@
   onSent(attempt: Attempt): void;
   /** The answer's head is there; also for answers that are not used. */
   onHead(attempt: Attempt, head: AnswerHead): void;
-  /** Whether the target takes connections at this moment. */
-  isThere(target: Target): Promise<boolean>;
   /** The attempt has ended; called once. */
   onEnd(attempt: Attempt, result: AttemptResult): void;
 }
@@ -96,9 +94,16 @@
   onEnd(isFramed: boolean): void {
     const mayKeep = isFramed && this.head!.headers.connection !== 'close';
     const { end, message } = classifyAnswer(this.head!, this.call);
-    this.connections.giveBack(this.connection, mayKeep && end !== 'unknown');
-    if (isFramed) this.endWhole(end, message);
-    else void this.endUnframed(end, message);
+    // A connection that breaks off often ends as one that has sent everything does, so that an answer
+    // whose end only the connection tells is never passed on as whole.
+    if (isFramed) {
+      this.connections.giveBack(this.connection, mayKeep && end !== 'unknown');
+      this.endWhole(end, message);
+    } else
+      this.onError({
+        kind: 'broken',
+        message: 'the end of an answer without a length is not proven',
+      });
   }
 
   private endWhole(end: AttemptEnd, message: string): void {
@@ -110,18 +115,6 @@
     this.finish({ end, answer: isUsable ? this.received(null) : null, error: null, message });
   }
 
-  // A target that dies closes its connections as one that has sent everything does, so an answer
-  // without a length counts as whole only when its target is still there.
-  private async endUnframed(end: AttemptEnd, message: string): Promise<void> {
-    const isThere = await this.observer.isThere(this.target);
-    if (isThere) this.endWhole(end, message);
-    else if (this.isOver) this.restEnded?.(false);
-    else {
-      const reason = 'the target died at the end of an answer without a length';
-      this.finish({ end: 'unknown', answer: null, error: 'broken', message: reason });
-    }
-  }
-
   onError(error: ConnectionError): void {
     this.connections.giveBack(this.connection, false);
     if (this.isOver) {
--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -85,8 +85,7 @@
 
   /** Sends the call, or waits, or ends it. */
   private place(): CallEnd | null {
-    const { clock } = this.context;
-    const placement = this.context.placer.place(this.call, this.used);
+    const placement = this.context.placer.place(this.call, this.used, this.mayWait());
     this.log(placement);
     return match(placement)
       .returnType<CallEnd | null>()
@@ -97,8 +96,7 @@
       })
       .with({ kind: 'refuse' }, ({ reason }) => this.giveUp(reason))
       .with({ kind: 'wait' }, ({ reason }) => {
-        const waitEnd = this.call.arrivedAt + this.call.route.latencyObjectiveMs * WAIT_SHARE;
-        if (clock.now() >= waitEnd) return this.giveUp(reason);
+        if (!this.mayWait()) return this.giveUp(reason);
         this.waiting = reason;
         this.lookAgain(WAIT_STEP_MS);
         return null;
@@ -106,6 +104,11 @@
       .exhaustive();
   }
 
+  private mayWait(): boolean {
+    const waitEnd = this.call.arrivedAt + this.call.route.latencyObjectiveMs * WAIT_SHARE;
+    return this.context.clock.now() < waitEnd;
+  }
+
   private send(targetId: string): void {
     const attempt = this.context.openAttempt(this.call, targetId, (ended, result) =>
       this.mailbox.put({ kind: 'ended', attempt: ended, result }),
@@ -147,9 +150,11 @@
       isLost: held === undefined || held.lostAt > first.sentAt,
     };
     if (!shouldHedge(input)) return;
-    const placement = this.context.placer.place(this.call, this.used);
+    const placement = this.context.placer.place(this.call, this.used, false);
     if (placement.kind !== 'send' || placement.reason === 'onlyCold') return;
-    const isWorthIt = placement.expectedMs < Math.max(input.objectiveLeftMs, input.workMs * 2);
+    // Without a free slot a second attempt would only lengthen the queues of a burst.
+    const isWorthIt =
+      placement.hasRoom && placement.expectedMs < Math.max(input.objectiveLeftMs, input.workMs * 2);
     if (!isWorthIt || !this.context.takeRepeat(this.call.service)) return;
     this.context.events.emit(DELIVERY_EVENTS.hedged, {
       call: this.call.id,
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -14,7 +14,6 @@
 import { DELIVERY_EVENTS } from './events';
 import { type IncomingCall } from './incomingCall';
 import { type Placer } from './placer';
-import { TargetProbe } from './targetProbe';
 
 // An attempt that nobody waits for any more is ended this long after the call's deadline.
 const ABANDON_MS = 300;
@@ -114,7 +113,6 @@
       clock,
       {
         onSent: () => {},
-        isThere: (asked) => this.isThere(asked),
         onHead: (sent, head) => this.learnFromHead(sent, head, paceAtStart),
         onEnd: (ended, result) => {
           abandon?.cancel();
@@ -138,17 +136,6 @@
     return isTaken;
   }
 
-  private async isThere(target: Target): Promise<boolean> {
-    const service = this.parts.catalog().services.get(target.service);
-    if (service === undefined) return false;
-    const { protocol, counters } = this.parts;
-    const probe = new TargetProbe(target, protocol, this.clock, () => counters.connection());
-    const report = await probe.ask(service);
-    probe.close();
-    if (report !== null) this.parts.onReport(report);
-    return report !== null && report.sight !== 'lost';
-  }
-
   private learnFromHead(attempt: Attempt, head: AnswerHead, paceAtStart: number): void {
     const { load, coldLeft } = head.facts;
     const isOwnAnswer = head.facts.callId === null || head.facts.callId === attempt.call.id;
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -37,11 +37,14 @@
     this.cold = new ColdAllowance(parts.clock);
   }
 
-  /** Decides where a call goes now; `used` are targets that it was sent to before. */
-  place(call: IncomingCall, used: ReadonlySet<string>): Placement {
+  /**
+   * Decides where a call goes now; `used` are targets that it was sent to before. With `mayWait` a
+   * call that would be late everywhere waits for a better moment.
+   */
+  place(call: IncomingCall, used: ReadonlySet<string>, mayWait: boolean): Placement {
     const targets = this.usable(call.service, used);
     const candidates = targets.map((target) => this.candidate(target));
-    const needs = this.needsOf(call);
+    const needs = this.needsOf(call, mayWait);
     const placement = chooseTarget(candidates, needs, this.parts.random);
     if (placement.kind !== 'wait') return placement;
     return this.placeCold(call, candidates, needs) ?? placement;
@@ -117,7 +120,7 @@
     return Math.max(held.ownInFlight, held.running + held.waiting + held.ownSinceLoad, 0);
   }
 
-  private needsOf(call: IncomingCall): CallNeeds {
+  private needsOf(call: IncomingCall, mayWait: boolean): CallNeeds {
     const now = this.parts.clock.now();
     const { route } = call;
     return {
@@ -127,6 +130,7 @@
       objectiveLeftMs: call.arrivedAt + route.latencyObjectiveMs - now,
       isIdempotent: route.isIdempotent,
       rank: this.rankOf(call),
+      mayWait,
     };
   }
 
@@ -150,6 +154,7 @@
         target: candidate.target,
         expectedMs: needs.workMs * 2,
         reason: 'onlyCold',
+        hasRoom: false,
       };
     }
     return null;
--- a/src/placement/callNeeds.ts
+++ b/src/placement/callNeeds.ts
@@ -9,6 +9,8 @@
   /** Time left until the latency objective; negative when it has passed. */
   readonly objectiveLeftMs: number;
   readonly isIdempotent: boolean;
+  /** Whether there is still time to wait for a better moment. */
+  readonly mayWait: boolean;
   /** Rank among the priorities of the service: 0 for the most urgent, 1 for the least. */
   readonly rank: number;
 }
--- a/src/placement/chooseTarget.ts
+++ b/src/placement/chooseTarget.ts
@@ -21,6 +21,9 @@
 const OCCUPANCY_WEIGHT = 0.4;
 // Hosts that decide in the same few milliseconds do not all take the same target.
 const JITTER = 0.12;
+// Behind a queue that makes a call later than this multiple of its objective, it would only make
+// those behind it late too; its caller comes back when the queue is gone.
+const QUEUE_SHARE = 1.5;
 // A call is sent only where its answer is expected within this share of the time left.
 const USABLE_TIME_SHARE: readonly number[] = [1.5, 1];
 
@@ -66,6 +69,12 @@
     if (best === null || rated.cost < best.cost) best = rated;
   }
   if (best === null) return { kind: 'wait', reason: hasCold ? 'allCold' : 'noTarget' };
+  const isLate = best.expectedMs > needs.objectiveLeftMs;
+  const isQueued = best.candidate.load >= best.candidate.slots;
+  if (isLate && needs.mayWait) return { kind: 'wait', reason: 'overloaded' };
+  if (isQueued && best.expectedMs > Math.max(needs.objectiveLeftMs, needs.workMs) * QUEUE_SHARE) {
+    return { kind: 'refuse', reason: 'overloaded' };
+  }
   const share = USABLE_TIME_SHARE[Math.min(needs.rank, 1)]!;
   if (best.expectedMs > needs.leftMs * share) return { kind: 'refuse', reason: 'overloaded' };
   return {
@@ -73,5 +82,6 @@
     target: best.candidate.target,
     expectedMs: best.expectedMs,
     reason: reasonOf(best, needs),
+    hasRoom: best.candidate.load + 1 < best.candidate.slots,
   };
 }
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -7,6 +7,8 @@
       readonly target: string;
       readonly expectedMs: number;
       readonly reason: PlacementReason;
+      /** The target has a free slot beyond the one that the call takes. */
+      readonly hasRoom: boolean;
     }
   | { readonly kind: 'wait'; readonly reason: RefusalReason }
   | { readonly kind: 'refuse'; readonly reason: RefusalReason };
