--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -79,6 +79,7 @@
         if (now >= nextSeed) {
           const isAlone = this.membership.live().length === 0;
           this.askSeeds(isAlone);
+          this.askSilent();
           nextSeed = now + (isAlone ? JOIN_MS : SEED_MS);
         }
         if (now >= nextBeat) {
@@ -221,6 +222,15 @@
     for (const ip of asked) this.send(ip, this.heartbeat({ asksMembers: true }));
   }
 
+  // After a cut each side takes the other for dead, and the seeds may be out of date: one silent host
+  // is asked at a time, so that the sides find each other again.
+  private askSilent(): void {
+    const silent = this.membership.silent();
+    if (silent.length === 0) return;
+    const { ip } = silent[this.parts.random.integer(silent.length)]!;
+    this.send(ip, this.heartbeat({ asksMembers: true }));
+  }
+
   private isDelegate(neighbours: readonly KnownHost[]): boolean {
     const { self } = this.parts;
     return neighbours.every((host) => self.id < host.id || host.isLeaving);
--- a/src/exchange/membership.ts
+++ b/src/exchange/membership.ts
@@ -18,6 +18,8 @@
   return HEARTBEAT_MS * Math.max(1, zoneSize / FULL_RATE_HOSTS);
 }
 
+// Silent hosts are asked now and then for this long, well beyond an hour without a link.
+const FORGET_MS = 2 * 60 * 60 * 1000;
 // How old the lists of live hosts may be.
 const REFRESH_MS = 50;
 
@@ -96,6 +98,19 @@
     return this.live().filter((host) => host.zone === zone);
   }
 
+  /**
+   * Hosts of this zone that were heard once and are silent now, and those of a zone without a live
+   * host: they may be cut off or have started again.
+   */
+  silent(): readonly HostAddress[] {
+    const now = this.clock.now();
+    const liveZones = new Set(this.live().map((host) => host.zone));
+    return [...this.hosts.values()].filter((host) => {
+      const isMissed = host.zone === this.self.zone ? host.isDirect : !liveZones.has(host.zone);
+      return isMissed && !this.isLive(host, now) && now - host.heardAt < FORGET_MS;
+    });
+  }
+
   /** Most hosts, this one included, that were live at the same time since the start. */
   largestSize(): number {
     return this.mostSeen;
