Remove events and a callback that nothing uses

Cause: four events of the catalogue were never written and one step of an attempt was told to a listener that did nothing; docs/OPERATIONS.md named the events as if they were logged. Change: they are gone, and an ignored write error says why it is ignored. No change of behaviour.

--- a/src/delivery/attempt.ts
+++ b/src/delivery/attempt.ts
@@ -23,7 +23,6 @@
 
 /** Is told of the steps of an attempt. */
 export interface AttemptObserver {
-  onSent(attempt: Attempt): void;
   /** The answer's head is there; also for answers that are not used. */
   onHead(attempt: Attempt, head: AnswerHead): void;
   /** The attempt has ended; called once. */
@@ -72,7 +71,6 @@
 
   onSent(): void {
     this.sentAt = this.clock.now();
-    this.observer.onSent(this);
   }
 
   onHead(status: number, headers: IncomingHttpHeaders): void {
--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -84,6 +84,7 @@
     const arrivedAt = this.parts.clock.now();
     const { protocol, isStopping, observer, clock } = this.parts;
     const answer = new CallerAnswer(response, protocol, isStopping);
+    // A caller that leaves ends its call through 'close'; a failed write tells nothing more.
     response.on('error', () => {});
     const header = request.headers[protocol.callIdHeader];
     const id = typeof header === 'string' ? header : '';
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -112,7 +112,6 @@
       this.connections.of(target),
       clock,
       {
-        onSent: () => {},
         onHead: (sent, head) => this.learnFromHead(sent, head, paceAtStart),
         onEnd: (ended, result) => {
           abandon?.cancel();
--- a/src/delivery/events.ts
+++ b/src/delivery/events.ts
@@ -7,7 +7,5 @@
   hedged: { number: 2202, level: 'info', message: 'second target asked' },
   ended: { number: 2203, level: 'info', message: 'call ended' },
   targetLost: { number: 2204, level: 'warn', message: 'target does not take connections' },
-  targetFound: { number: 2205, level: 'info', message: 'target confirmed by a probe' },
   crash: { number: 2206, level: 'warn', message: 'target died while it ran a call' },
-  callerError: { number: 2207, level: 'info', message: 'caller sent no valid request' },
 });
--- a/src/source/events.ts
+++ b/src/source/events.ts
@@ -4,8 +4,6 @@
 export const SOURCE_EVENTS = defineEvents(2000, {
   regained: { number: 2000, level: 'info', message: 'catalog source answers' },
   lost: { number: 2001, level: 'warn', message: 'catalog source does not answer' },
-  started: { number: 2002, level: 'info', message: 'this host reads the catalog for its zone' },
   stopped: { number: 2003, level: 'info', message: 'another host reads the catalog' },
   changed: { number: 2004, level: 'info', message: 'catalog changed' },
-  unreadable: { number: 2005, level: 'warn', message: 'published entry names nothing usable' },
 });
