Tell calls in flight between hosts, so that they see each other's choices

Change: each host tells changes of its calls in flight by target within 4 ms in its zone and 10 ms elsewhere, as absolute counts that are repeated while calls go on; the load of a target is their sum, plus what its own reports show beyond it. Reports no longer tell changes of load.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -11,7 +11,14 @@
   type IncomingCall,
 } from '../delivery';
 import { Exchange, type HostAddress, openDatagramLink, EXCHANGE_EVENTS } from '../exchange';
-import { KnowledgeTable, ReportOutbox, type TargetReport, WorkEstimates } from '../knowledge';
+import {
+  FlightOutbox,
+  FlightTable,
+  KnowledgeTable,
+  ReportOutbox,
+  type TargetReport,
+  WorkEstimates,
+} from '../knowledge';
 import { type Lifecycle } from '../lifecycle';
 import { type EventSink } from '../logging';
 import { type TextSink } from '../metrics';
@@ -66,6 +73,10 @@
 
   private readonly exchange: Exchange;
 
+  private readonly flights: FlightTable;
+
+  private readonly flightOutbox: FlightOutbox;
+
   private readonly reader: CatalogReader;
 
   private readonly outbox: ReportOutbox;
@@ -89,7 +100,10 @@
     const { clock, random, events, settings, adapter, metrics } = parts;
     const { protocol } = adapter;
     const catalog = () => this.ledger.catalog();
-    this.knowledge = new KnowledgeTable(clock);
+    this.flights = new FlightTable(clock);
+    this.knowledge = new KnowledgeTable(clock, this.flights, (target, calls) =>
+      this.flightOutbox.note(target, calls),
+    );
     this.beliefs = new BeliefLog(clock, this.knowledge, events);
     this.crashTable = new CrashTable(clock);
     this.exchange = this.makeExchange(link);
@@ -97,6 +111,10 @@
       spreadReports: (reports, isFar) => this.exchange.spreadReports(reports, isFar),
       neighbourCount: () => this.exchange.membership.neighbours().length,
     });
+    this.flightOutbox = new FlightOutbox(clock, settings['host-id'], {
+      spreadFlights: (counts, isFar) => this.exchange.spreadFlights(counts, isFar),
+      neighbourCount: () => this.exchange.membership.neighbours().length,
+    });
     this.reader = this.makeReader();
     const onOpened = () => metrics.increment(BALANCER_METRICS.connections);
     this.probes = new ProbeTable(
@@ -298,6 +316,11 @@
       onReports: (reports) => {
         for (const report of reports) this.take(report);
       },
+      onFlights: (counts, passOn) => {
+        const others = counts.filter(({ host }) => host !== self.id);
+        for (const count of others) this.flights.take(count);
+        if (passOn) this.flightOutbox.passOn(others);
+      },
       onCrash: ({ fingerprint, callId, cleared }) => {
         if (cleared) this.crashTable.clear(fingerprint);
         else this.crashTable.note(fingerprint, callId);
@@ -361,6 +384,8 @@
     let dropped = 0;
     return runEvery(clock, TURN_MS, () => {
       metrics.timing(BALANCER_METRICS.loopDelay, Math.max(0, clock.now() - expectedAt));
+      this.flights.sweep();
+      this.flightOutbox.turn();
       this.probes.turn();
       metrics.gauge(BALANCER_METRICS.hosts, this.exchange.membership.live().length);
       metrics.gauge(BALANCER_METRICS.asOf, this.ledger.catalog().asOf);
--- a/src/balancer/describeBalancer.ts
+++ b/src/balancer/describeBalancer.ts
@@ -51,7 +51,7 @@
         state: target.state,
         pace: held?.pace ?? null,
         paceAge: held === undefined ? null : age(now, held.paceAt),
-        load: held === undefined ? null : held.running + held.waiting,
+        load: held === undefined ? null : knowledge.load(held),
         loadAge: held === undefined ? null : age(now, held.loadAt),
         isCold: held !== undefined && held.coldUntil > now,
         isLost: held !== undefined && held.lostAt > held.soundAt,
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -1,5 +1,5 @@
 import { type Catalog, type Target } from '../catalog';
-import { type KnowledgeTable, type TargetKnowledge, type WorkEstimates } from '../knowledge';
+import { type KnowledgeTable, type WorkEstimates } from '../knowledge';
 import {
   type CallNeeds,
   type Candidate,
@@ -83,7 +83,7 @@
       asOf,
       pace: held.pace,
       paceAge: Math.round(now - held.paceAt),
-      load: this.loadOf(held),
+      load: this.parts.knowledge.load(held),
       loadAge: Math.round(now - held.loadAt),
     };
   }
@@ -105,7 +105,7 @@
       target: target.id,
       isNear: target.zone === zone,
       slots: target.slots,
-      load: this.loadOf(held),
+      load: knowledge.load(held),
       pace: held.pace,
       paceAge: now - held.paceAt,
       failureShare: knowledge.failureShare(held),
@@ -116,10 +116,6 @@
     };
   }
 
-  private loadOf(held: TargetKnowledge): number {
-    return Math.max(held.ownInFlight, held.running + held.waiting + held.ownSinceLoad, 0);
-  }
-
   private needsOf(call: IncomingCall, mayWait: boolean): CallNeeds {
     const now = this.parts.clock.now();
     const { route } = call;
--- a/src/exchange/datagramCodec.ts
+++ b/src/exchange/datagramCodec.ts
@@ -1,8 +1,9 @@
-import { type TargetReport } from '../knowledge';
+import { type FlightCounts, type TargetReport } from '../knowledge';
 
 import {
   type Changes,
   type CrashNotice,
+  type Flights,
   type Heartbeat,
   type Message,
   type Reports,
@@ -33,6 +34,19 @@
   return { target, age, running, waiting, pace, sight, coldLeft } as TargetReport;
 }
 
+function countsFields({ host, sequence, calls }: FlightCounts): Fields {
+  return [host, sequence, [...calls].flat()];
+}
+
+function countsOf([host, sequence, flat]: Fields): FlightCounts {
+  const calls = new Map<string, number>();
+  const fields = flat as Fields;
+  for (let index = 0; index + 1 < fields.length; index += 2) {
+    calls.set(fields[index] as string, fields[index + 1] as number);
+  }
+  return { host: host as string, sequence: sequence as number, calls };
+}
+
 // Fields without names: heartbeats and reports are nearly all that hosts send to each other.
 const CODECS: Codecs = {
   heartbeat: {
@@ -66,6 +80,15 @@
         reports: (reports as Fields[]).map(reportOf),
       }) satisfies Reports,
   },
+  flights: {
+    encode: (message) => [message.passOn ? 1 : 0, message.counts.map(countsFields)],
+    decode: ([passOn, counts]) =>
+      ({
+        kind: 'flights',
+        passOn: passOn === 1,
+        counts: (counts as Fields[]).map(countsOf),
+      }) satisfies Flights,
+  },
   changes: {
     encode: (message) => [message.passOn ? 1 : 0, message.text],
     decode: ([passOn, text]) =>
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -1,7 +1,7 @@
 import { match } from 'ts-pattern';
 
 import { type CatalogChanges, decodeChanges, encodeChanges, type Ledger } from '../catalog';
-import { type TargetReport } from '../knowledge';
+import { type FlightCounts, type TargetReport } from '../knowledge';
 import { type EventSink } from '../logging';
 import { type Clock, type Random, rendezvousChoice, runEvery } from '../runtime';
 import { type SourceState } from '../source';
@@ -12,7 +12,13 @@
 import { type HostAddress } from './hostAddress';
 import { type KnownHost } from './knownHost';
 import { heartbeatInterval, Membership } from './membership';
-import { type CrashNotice, type Heartbeat, type Message, type Reports } from './message';
+import {
+  type CrashNotice,
+  type Flights,
+  type Heartbeat,
+  type Message,
+  type Reports,
+} from './message';
 
 // Between zones a few hosts are named, and passed on to every host of the zone that hears of them.
 const DELEGATE_MS = 500;
@@ -41,6 +47,8 @@
   /** Reads the changes after a revision from another host; null when it does not answer. */
   readonly pull: (host: HostAddress, after: number) => Promise<CatalogChanges | null>;
   readonly onReports: (reports: readonly TargetReport[]) => void;
+  /** With `passOn` the neighbours are to be told too. */
+  readonly onFlights: (counts: readonly FlightCounts[], passOn: boolean) => void;
   readonly onCrash: (notice: CrashNotice) => void;
 }
 
@@ -128,6 +136,14 @@
     else this.sendTo(this.membership.neighbours(), message);
   }
 
+  /** Tells the zone of calls in flight; with `isFar` one host of each other zone instead. */
+  spreadFlights(counts: readonly FlightCounts[], isFar: boolean): void {
+    if (counts.length === 0) return;
+    const message: Flights = { kind: 'flights', counts };
+    if (isFar) this.sendTo(this.oneOfEachOtherZone('flights'), { ...message, passOn: true });
+    else this.sendTo(this.membership.neighbours(), message);
+  }
+
   /** Tells all hosts of a crash. */
   spreadCrash(notice: CrashNotice): void {
     this.sendTo(this.membership.neighbours(), notice);
@@ -146,6 +162,9 @@
         this.parts.onReports(reports.reports);
         if (reports.passOn) this.passOn({ ...reports, passOn: false });
       })
+      .with({ kind: 'flights' }, ({ counts, passOn }) =>
+        this.parts.onFlights(counts, passOn === true),
+      )
       .with({ kind: 'changes' }, (changes) => {
         this.parts.ledger.apply(decodeChanges(changes.text, this.parts.clock.now()));
         if (changes.passOn) this.passOn({ ...changes, passOn: false });
@@ -253,11 +272,12 @@
       if (zone === self.zone) continue;
       const hosts = this.membership.inZone(zone);
       if (hosts.length === 0) continue;
-      // Any host will do for what is sent once; the members go to one that is easily replaced.
+      // Any host will do for what is sent once. What many hosts tell goes to the same one, which
+      // passes it on in batches; another takes over each second, so that a dead one does little harm.
       const id =
-        purpose === 'members'
+        purpose === 'members' || purpose === 'flights'
           ? rendezvousChoice(
-              `${self.zone} ${Math.floor(this.parts.clock.now() / SEED_MS)}`,
+              `${purpose} ${self.zone} ${Math.floor(this.parts.clock.now() / SEED_MS)}`,
               hosts.map((host) => host.id),
             )
           : hosts[random.integer(hosts.length)]!.id;
--- a/src/exchange/message.ts
+++ b/src/exchange/message.ts
@@ -1,5 +1,5 @@
 import { type SourceState } from '../source';
-import { type TargetReport } from '../knowledge';
+import { type FlightCounts, type TargetReport } from '../knowledge';
 
 /** What a host says of itself, and when `members` is given, of the hosts of its zone. */
 export interface Heartbeat {
@@ -29,6 +29,13 @@
   readonly passOn?: boolean;
 }
 
+/** Calls that hosts have in flight. */
+export interface Flights {
+  readonly kind: 'flights';
+  readonly counts: readonly FlightCounts[];
+  readonly passOn?: boolean;
+}
+
 /** Changes of the catalog, as text of `encodeChanges`. */
 export interface Changes {
   readonly kind: 'changes';
@@ -47,4 +54,4 @@
 }
 
 /** Every message between hosts. */
-export type Message = Heartbeat | Reports | Changes | CrashNotice;
+export type Message = Heartbeat | Reports | Flights | Changes | CrashNotice;
--- /dev/null
+++ b/src/knowledge/flightCounts.ts
@@ -0,0 +1,8 @@
+/** Calls that one host has in flight at targets, as it tells them to the other hosts. */
+export interface FlightCounts {
+  readonly host: string;
+  /** Rises with each message of the host, so that an overtaken one changes nothing. */
+  readonly sequence: number;
+  /** Calls in flight by target; 0 when the last one has ended. */
+  readonly calls: ReadonlyMap<string, number>;
+}
--- a/src/knowledge/knowledgeTable.ts
+++ b/src/knowledge/knowledgeTable.ts
@@ -1,6 +1,7 @@
 import { type Catalog, type Target } from '../catalog';
 import { type Clock } from '../runtime';
 
+import { type FlightTable } from './flightTable';
 import { type TargetKnowledge } from './targetKnowledge';
 import { type TargetReport } from './targetReport';
 
@@ -11,14 +12,22 @@
 const FAILURE_WEIGHT = 0.12;
 // A target that failed is given the benefit of the doubt again after some seconds.
 const FAILURE_HALF_LIFE_MS = 2000;
-// Reports of one moment cross each other on the way; older ones than this say nothing new.
-const REPORT_JITTER_MS = 2;
+// A report of load this old cannot be compared with the calls that are in flight now.
+const COMPARABLE_MS = 20;
+// Calls that nobody told of, such as those of a host that is cut off, are assumed to run so long
+// unless a later report shows them again.
+const UNTOLD_LIFE_MS = 250;
 
 /** Observations of targets by this host and by the others, the newest of each kind. */
 export class KnowledgeTable {
   private readonly known = new Map<string, TargetKnowledge>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly flights: FlightTable,
+    /** Told of each change in the number of this host's calls at a target. */
+    private readonly onFlight: (target: string, calls: number) => void,
+  ) {}
 
   /** What is known of a target; undefined for one that was never announced. */
   get(id: string): TargetKnowledge | undefined {
@@ -40,11 +49,10 @@
     const held = this.known.get(report.target);
     if (held === undefined) return;
     const seenAt = this.clock.now() - report.age;
-    if (report.running !== null && seenAt > held.loadAt + REPORT_JITTER_MS) {
-      held.running = report.running;
-      held.waiting = report.waiting ?? 0;
+    if (report.running !== null && report.age < COMPARABLE_MS && seenAt > held.loadAt) {
+      const told = held.ownInFlight + this.flights.at(held.id);
+      held.untold = Math.max(0, report.running + (report.waiting ?? 0) - told);
       held.loadAt = seenAt;
-      held.ownSinceLoad = 0;
     }
     if (report.pace !== null && seenAt > held.paceAt) {
       held.pace = report.pace;
@@ -60,7 +68,7 @@
     const held = this.known.get(id);
     if (held === undefined) return;
     held.ownInFlight += 1;
-    held.ownSinceLoad += 1;
+    this.onFlight(id, held.ownInFlight);
   }
 
   /** Notes that a call of this host has ended at the target. */
@@ -68,7 +76,13 @@
     const held = this.known.get(id);
     if (held === undefined) return;
     held.ownInFlight = Math.max(0, held.ownInFlight - 1);
-    held.ownSinceLoad -= 1;
+    this.onFlight(id, held.ownInFlight);
+  }
+
+  /** Calls that run or wait at a target at this moment, of all hosts. */
+  load(held: TargetKnowledge): number {
+    const untold = this.clock.now() - held.loadAt < UNTOLD_LIFE_MS ? held.untold : 0;
+    return held.ownInFlight + this.flights.at(held.id) + untold;
   }
 
   /** Share of recent calls that failed, with older failures forgiven. */
@@ -110,13 +124,11 @@
       id: target.id,
       service: target.service,
       startedAt: target.startedAt,
-      running: 0,
-      waiting: 0,
+      untold: 0,
       loadAt: -Infinity,
       pace: USUAL_PACE,
       paceAt: -Infinity,
       ownInFlight: previous?.ownInFlight ?? 0,
-      ownSinceLoad: 0,
       coldUntil: target.coldUntil,
       failureShare: 0,
       failureAt: now,
--- a/src/knowledge/reportOutbox.ts
+++ b/src/knowledge/reportOutbox.ts
@@ -13,12 +13,10 @@
 
 // What has not changed by more than this is told only as a sign of life.
 const PACE_FACTOR = 1.2;
-const LOAD_STEP = 2;
 const REFRESH_MS = 250;
 
 interface Told {
   readonly pace: number;
-  readonly load: number;
   readonly at: number;
 }
 
@@ -84,14 +82,12 @@
     if (report.sight !== 'answer' && report.sight !== 'probe') return true;
     const last = this.told.get(report.target);
     const pace = report.pace ?? last?.pace ?? 100;
-    const load = report.running === null ? (last?.load ?? 0) : report.running + report.waiting!;
     if (last !== undefined) {
       const ratio = pace / last.pace;
       const isSamePace = ratio < PACE_FACTOR && ratio > 1 / PACE_FACTOR;
-      const isSameLoad = Math.abs(load - last.load) < LOAD_STEP;
-      if (isSamePace && isSameLoad && now - last.at < REFRESH_MS) return false;
+      if (isSamePace && now - last.at < REFRESH_MS) return false;
     }
-    this.told.set(report.target, { pace, load, at: now });
+    this.told.set(report.target, { pace, at: now });
     return true;
   }
 
--- a/src/knowledge/targetKnowledge.ts
+++ b/src/knowledge/targetKnowledge.ts
@@ -4,9 +4,8 @@
   readonly service: string;
   /** Unix time of the start that the knowledge is about; null when it was not announced. */
   startedAt: number | null;
-  /** Calls running and waiting at the target when it was last reported. */
-  running: number;
-  waiting: number;
+  /** Calls that the target reported at `loadAt` beyond those that hosts told of. */
+  untold: number;
   /** Monotonic time of the last report of load; -Infinity before the first. */
   loadAt: number;
   /** Time that work takes, in percent of the usual. */
@@ -14,8 +13,6 @@
   paceAt: number;
   /** Calls of this host that are at the target. */
   ownInFlight: number;
-  /** Calls of this host that were sent, less those that ended, since the last report of load. */
-  ownSinceLoad: number;
   coldUntil: number;
   /** Share of recent calls that failed, 0 to 1, decayed by time. */
   failureShare: number;
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -62,6 +62,7 @@
       isLeaving: () => false,
       pull: (host, after) => Promise.resolve(this.pull(address, host, after)),
       onReports: (seen) => reports.push(...seen),
+      onFlights: () => {},
       onCrash: () => {},
     });
     const host = {
--- /dev/null
+++ b/test/knowledge/flights.test.ts
@@ -0,0 +1,102 @@
+import { type FlightCounts, FlightOutbox, FlightTable } from '../../src/knowledge';
+import { ManualClock } from '../../src/runtime';
+
+function counts(host: string, sequence: number, calls: Record<string, number>): FlightCounts {
+  return { host, sequence, calls: new Map(Object.entries(calls)) };
+}
+
+interface Sent {
+  readonly counts: readonly FlightCounts[];
+  readonly isFar: boolean;
+}
+
+function outbox(clock: ManualClock, neighbours = 4) {
+  const sent: Sent[] = [];
+  const box = new FlightOutbox(clock, 'host-1', {
+    spreadFlights: (told, isFar) => sent.push({ counts: told, isFar }),
+    neighbourCount: () => neighbours,
+  });
+  return { box, sent };
+}
+
+describe('calls in flight of other hosts', () => {
+  // Guards against a sum that misses hosts, so that all of them fill the same target.
+  it('are added up by target', () => {
+    const table = new FlightTable(new ManualClock());
+    table.take(counts('host-1', 1, { t1: 2 }));
+    table.take(counts('host-2', 1, { t1: 1, t2: 1 }));
+    table.take(counts('host-1', 2, { t1: 0 }));
+    expect([table.at('t1'), table.at('t2'), table.at('t3')]).toEqual([1, 1, 0]);
+  });
+
+  // Guards against datagrams that overtake each other.
+  it('are not changed by a message that was overtaken', () => {
+    const table = new FlightTable(new ManualClock());
+    table.take(counts('host-1', 5, { t1: 0 }));
+    table.take(counts('host-1', 4, { t1: 3 }));
+    expect(table.at('t1')).toBe(0);
+  });
+
+  // Guards against targets that look full for ever after a host died with calls in flight, and
+  // against the restarted host's low sequence numbers being ignored for ever.
+  it('are forgotten when their host no longer repeats them', () => {
+    const clock = new ManualClock();
+    const table = new FlightTable(clock);
+    table.take(counts('host-1', 900, { t1: 3 }));
+    clock.advanceTo(1300);
+    table.sweep();
+    expect(table.at('t1')).toBe(0);
+    table.take(counts('host-1', 1, { t1: 1 }));
+    expect(table.at('t1')).toBe(1);
+  });
+});
+
+describe('the outbox of calls in flight', () => {
+  // Guards against knowledge that is older than the time between two calls to a target.
+  it('tells the zone within 4 ms and the other zones within 10 ms', () => {
+    const clock = new ManualClock();
+    const { box, sent } = outbox(clock);
+    box.note('t1', 1);
+    box.note('t1', 2);
+    clock.advanceTo(4);
+    expect(sent).toEqual([{ counts: [counts('host-1', 1, { t1: 2 })], isFar: false }]);
+    clock.advanceTo(10);
+    expect(sent[1]).toEqual({ counts: [counts('host-1', 2, { t1: 2 })], isFar: true });
+  });
+
+  // Guards against a lost datagram that leaves a call unknown for as long as it runs.
+  it('repeats calls that go on, and nothing else', () => {
+    const clock = new ManualClock();
+    const { box, sent } = outbox(clock);
+    box.note('t1', 1);
+    box.note('t2', 0);
+    clock.advanceTo(20);
+    sent.length = 0;
+    clock.advanceTo(510);
+    box.turn();
+    clock.advanceTo(530);
+    expect(sent.map(({ counts: [told] }) => [...told!.calls])).toEqual([[['t1', 1]], [['t1', 1]]]);
+  });
+
+  // Guards against a zone that never hears of the calls of another one, and against an echo.
+  it('passes on what another zone tells, once and to its own zone only', () => {
+    const clock = new ManualClock();
+    const { box, sent } = outbox(clock);
+    box.passOn([counts('far-1', 7, { t1: 1 })]);
+    box.passOn([counts('far-1', 8, { t1: 2, t2: 1 })]);
+    clock.advanceTo(30);
+    expect(sent).toEqual([{ counts: [counts('far-1', 8, { t1: 2, t2: 1 })], isFar: false }]);
+  });
+
+  // Guards against datagrams that grow with the square of the zone.
+  it('speaks less often in a large zone', () => {
+    const clock = new ManualClock();
+    const { box, sent } = outbox(clock, 36);
+    for (let at = 0; at < 240; at += 4) {
+      clock.advanceTo(at);
+      box.note('t1', at);
+    }
+    clock.advanceTo(300);
+    expect(sent.filter(({ isFar }) => !isFar).length).toBeLessThanOrEqual(11);
+  });
+});
