Let calls wait in line for a free slot, late ones last; tell filling calls at once

(2) Hosts that chose within 4 to 15 ms of each other still filled the same target. Change: calls wait at the host, in the order of rank and time left, for a slot that slows nothing down; calls that are late already yield and are refused half an objective later; the slowdown of full targets is learned by service; a call that leaves a target one slot or none is told within 1 to 2 ms, others later; refusals count as failures of the target; callers whose call was refused by targets with room come back at once. A model of the fleet replays the loads with the product's decisions.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -13,6 +13,7 @@
 import { Exchange, type HostAddress, openDatagramLink, EXCHANGE_EVENTS } from '../exchange';
 import {
   FlightOutbox,
+  FullSlowdowns,
   FlightTable,
   KnowledgeTable,
   ReportOutbox,
@@ -101,8 +102,8 @@
     const { protocol } = adapter;
     const catalog = () => this.ledger.catalog();
     this.flights = new FlightTable(clock);
-    this.knowledge = new KnowledgeTable(clock, this.flights, (target, calls) =>
-      this.flightOutbox.note(target, calls),
+    this.knowledge = new KnowledgeTable(clock, this.flights, (target, calls, isFilling) =>
+      this.flightOutbox.note(target, calls, isFilling),
     );
     this.beliefs = new BeliefLog(clock, this.knowledge, events);
     this.crashTable = new CrashTable(clock);
@@ -126,8 +127,17 @@
       { hostId: settings['host-id'], hostsOf: (zone) => this.hostsOf(zone) },
     );
     const work = new WorkEstimates();
+    const slowdowns = new FullSlowdowns();
     const placer = new Placer({
-      ...{ clock, random, catalog, work, knowledge: this.knowledge, zone: settings.zone },
+      ...{
+        clock,
+        random,
+        catalog,
+        work,
+        slowdowns,
+        knowledge: this.knowledge,
+        zone: settings.zone,
+      },
       isConnected: (target) => this.delivery.isConnected(target),
       coldShare: (target, rate) =>
         coldShare(target.id, target.zone === settings.zone, rate, this.fleetSize()),
--- a/src/delivery/attempt.ts
+++ b/src/delivery/attempt.ts
@@ -7,6 +7,7 @@
 
 import { type AnswerHead } from './answerHead';
 import { type AnswerRest } from './answerRest';
+import { type AttemptObserver } from './attemptObserver';
 import { type AttemptResult } from './attemptResult';
 import { type CallProtocol } from './callProtocol';
 import { classifyAnswer } from './classifyAnswer';
@@ -14,6 +15,7 @@
 import { type ExchangeListener } from './exchangeListener';
 import { type IncomingCall } from './incomingCall';
 import { type OutgoingRequest } from './outgoingRequest';
+import { type RunningAttempt } from './runningAttempt';
 import { type TargetConnection } from './targetConnection';
 import { type TargetConnections } from './targetConnections';
 
@@ -21,16 +23,8 @@
 // off can be replaced by that of another target.
 const LARGEST_WHOLE_BYTES = 256 * 1024;
 
-/** Is told of the steps of an attempt. */
-export interface AttemptObserver {
-  /** The answer's head is there; also for answers that are not used. */
-  onHead(attempt: Attempt, head: AnswerHead): void;
-  /** The attempt has ended; called once. */
-  onEnd(attempt: Attempt, result: AttemptResult): void;
-}
-
-/** One transmission of a call to one target. */
-export class Attempt implements ExchangeListener {
+/** One transmission of a call to one target over a connection. */
+export class Attempt implements ExchangeListener, RunningAttempt {
   /** Monotonic time at which the request was sent; null before. */
   sentAt: number | null = null;
 
--- a/src/delivery/callEvent.ts
+++ b/src/delivery/callEvent.ts
@@ -1,9 +1,9 @@
-import { type Attempt } from './attempt';
+import { type RunningAttempt } from './runningAttempt';
 import { type AttemptResult } from './attemptResult';
 
 /** What a call's task waits for. */
 export type CallEvent =
-  | { readonly kind: 'ended'; readonly attempt: Attempt; readonly result: AttemptResult }
+  | { readonly kind: 'ended'; readonly attempt: RunningAttempt; readonly result: AttemptResult }
   | { readonly kind: 'tick' }
   | { readonly kind: 'deadline' }
   | { readonly kind: 'callerLeft' };
--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -10,9 +10,10 @@
   type RefusalReason,
   retryAfter,
   shouldHedge,
+  type Waiting,
 } from '../placement';
 
-import { type Attempt } from './attempt';
+import { type RunningAttempt } from './runningAttempt';
 import { type AttemptResult, type ReceivedAnswer } from './attemptResult';
 import { type CallEnd } from './callEnd';
 import { type CallEvent } from './callEvent';
@@ -21,16 +22,18 @@
 import { type IncomingCall } from './incomingCall';
 import { Mailbox } from './mailbox';
 
-// A call waits for a usable target no longer than this share of its latency objective: beyond it
+// Without a usable target a call waits no longer than this share of its latency objective: beyond it
 // the caller does better to come back at another host.
 const WAIT_SHARE = 1 / 8;
-const WAIT_STEP_MS = 8;
+// Ends of this host's own calls wake a waiting call at once; slots that other hosts free, and paces
+// that recover, are looked for in this interval.
+const WAIT_STEP_MS = 6;
 
 /** The task of one call: places it, repeats it where that helps, and ends with one final answer. */
 export class CallRun {
   private readonly mailbox = new Mailbox<CallEvent>();
 
-  private readonly running = new Set<Attempt>();
+  private readonly running = new Set<RunningAttempt>();
 
   private readonly used = new Set<string>();
 
@@ -52,6 +55,9 @@
   /** Why the call is not sent, while it waits. */
   private waiting: RefusalReason | null = null;
 
+  /** Its place among the calls that wait for the same service. */
+  private placeInLine: Waiting | null = null;
+
   constructor(
     private readonly context: DeliveryContext,
     private readonly call: IncomingCall,
@@ -85,30 +91,48 @@
 
   /** Sends the call, or waits, or ends it. */
   private place(): CallEnd | null {
-    const placement = this.context.placer.place(this.call, this.used, this.mayWait());
+    const placement = this.context.placer.place(this.call, this.used, true);
     this.log(placement);
     return match(placement)
       .returnType<CallEnd | null>()
       .with({ kind: 'send' }, ({ target }) => {
-        this.waiting = null;
+        this.leaveLine();
         this.send(target);
         return null;
       })
       .with({ kind: 'refuse' }, ({ reason }) => this.giveUp(reason))
       .with({ kind: 'wait' }, ({ reason }) => {
-        if (!this.mayWait()) return this.giveUp(reason);
-        this.waiting = reason;
+        if (!this.mayWait(reason)) return this.giveUp(reason);
+        this.joinLine(reason);
         this.lookAgain(WAIT_STEP_MS);
         return null;
       })
       .exhaustive();
   }
 
-  private mayWait(): boolean {
+  // How long a call waits for a slot is decided where it is placed.
+  private mayWait(reason: RefusalReason): boolean {
+    if (reason === 'overloaded') return true;
     const waitEnd = this.call.arrivedAt + this.call.route.latencyObjectiveMs * WAIT_SHARE;
     return this.context.clock.now() < waitEnd;
   }
 
+  private joinLine(reason: RefusalReason): void {
+    this.waiting = reason;
+    if (this.placeInLine !== null) return;
+    const { placer } = this.context;
+    const wake = () => this.mailbox.put({ kind: 'tick' });
+    this.placeInLine = { ...placer.orderOf(this.call), wake };
+    placer.lineOf(this.call.service).add(this.placeInLine);
+  }
+
+  private leaveLine(): void {
+    this.waiting = null;
+    if (this.placeInLine === null) return;
+    this.context.placer.lineOf(this.call.service).remove(this.placeInLine);
+    this.placeInLine = null;
+  }
+
   private send(targetId: string): void {
     const attempt = this.context.openAttempt(this.call, targetId, (ended, result) =>
       this.mailbox.put({ kind: 'ended', attempt: ended, result }),
@@ -137,7 +161,7 @@
     );
   }
 
-  private hedge(first: Attempt): void {
+  private hedge(first: RunningAttempt): void {
     if (first.sentAt === null) return;
     const { clock, knowledge } = this.context;
     const held = knowledge.get(first.target.id);
@@ -165,7 +189,7 @@
     this.send(placement.target);
   }
 
-  private attemptEnded(attempt: Attempt, result: AttemptResult): CallEnd | null {
+  private attemptEnded(attempt: RunningAttempt, result: AttemptResult): CallEnd | null {
     this.running.delete(attempt);
     if (result.end === 'answered') return { kind: 'answer', answer: result.answer! };
     if (result.end !== 'notSent') this.attempts += 1;
@@ -174,11 +198,12 @@
     if (result.answer !== null && result.end === 'failed') this.failure = result.answer;
     this.failureMessage = result.message;
     if (this.running.size > 0) return null;
-    return this.next(result.end);
+    return this.next(attempt, result.end);
   }
 
-  private next(end: AttemptEnd): CallEnd | null {
+  private next(attempt: RunningAttempt, end: AttemptEnd): CallEnd | null {
     const step = this.decide(end);
+    const reason = this.reasonAfter(attempt, end);
     this.context.events.emit(DELIVERY_EVENTS.attemptFailed, {
       call: this.call.id,
       end,
@@ -190,12 +215,20 @@
       .returnType<CallEnd | null>()
       .with('resend', () => this.place())
       .with('repeat', () =>
-        this.context.takeRepeat(this.call.service) ? this.place() : this.giveUp('overloaded'),
+        this.context.takeRepeat(this.call.service) ? this.place() : this.giveUp(reason),
       )
-      .with('finish', () => this.giveUp('overloaded'))
+      .with('finish', () => this.giveUp(reason))
       .exhaustive();
   }
 
+  // A target that refuses while it has free slots is not overloaded.
+  private reasonAfter({ target }: RunningAttempt, end: AttemptEnd): RefusalReason {
+    const { knowledge } = this.context;
+    const held = knowledge.get(target.id);
+    const hadRoom = held !== undefined && knowledge.load(held) < target.slots;
+    return end === 'notRun' && hadRoom ? 'refused' : 'overloaded';
+  }
+
   private decide(end: AttemptEnd): NextStep {
     const { route, body, deadline } = this.call;
     const isKept = body === null || Buffer.isBuffer(body);
@@ -251,6 +284,7 @@
   private close(end: CallEnd): CallEnd {
     for (const timer of this.timers) timer.cancel();
     this.tick?.cancel();
+    this.leaveLine();
     for (const attempt of this.running) {
       // An answer that nobody waits for any more is dropped at the target, unless the call may run
       // only once: then what was begun is finished.
--- a/src/delivery/crashGuard.ts
+++ b/src/delivery/crashGuard.ts
@@ -2,7 +2,7 @@
 import { type Clock } from '../runtime';
 import { CRASHES_TO_REFUSE, type CrashTable, fingerprintOf } from '../suspects';
 
-import { type Attempt } from './attempt';
+import { type RunningAttempt } from './runningAttempt';
 import { DELIVERY_EVENTS } from './events';
 import { type IncomingCall } from './incomingCall';
 
@@ -36,7 +36,7 @@
   }
 
   /** Looks a moment after a connection broke without an answer whether its target died. */
-  noteBroken(attempt: Attempt): void {
+  noteBroken(attempt: RunningAttempt): void {
     const { sentAt, target, call } = attempt;
     if (sentAt === null) return;
     this.clock.setTimer(this.clock.now() + CONFIRM_MS, () => {
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -1,11 +1,12 @@
 import { type Catalog, type Target } from '../catalog';
-import { type KnowledgeTable, type TargetReport, type TargetSight } from '../knowledge';
+import { type KnowledgeTable, type TargetReport, type TargetSight, USUAL_PACE } from '../knowledge';
 import { type EventSink } from '../logging';
 import { type RetryBounds, RetryBudget } from '../placement';
 import { type Clock, type Random, type Timer } from '../runtime';
 
 import { type AnswerHead } from './answerHead';
 import { Attempt } from './attempt';
+import { type AttemptObserver } from './attemptObserver';
 import { type AttemptResult } from './attemptResult';
 import { type CallProtocol } from './callProtocol';
 import { ConnectionTable } from './connectionTable';
@@ -14,10 +15,19 @@
 import { DELIVERY_EVENTS } from './events';
 import { type IncomingCall } from './incomingCall';
 import { type Placer } from './placer';
+import { type RunningAttempt } from './runningAttempt';
 
 // An attempt that nobody waits for any more is ended this long after the call's deadline.
 const ABANDON_MS = 300;
 
+// A call that ends frees one slot, and the first call in the line may not be able to use it.
+const WOKEN_BY_END = 2;
+
+interface TargetBefore {
+  readonly pace: number;
+  readonly load: number;
+}
+
 /** Counters of delivery. */
 export interface DeliveryCounters {
   attempt(service: string): void;
@@ -43,8 +53,17 @@
   readonly onReport: (report: TargetReport) => void;
   readonly onSuddenClose: (target: string) => void;
   readonly counters: DeliveryCounters;
+  /** How a call is transmitted to a target; over connections of this host unless it is given. */
+  readonly transmit?: Transmit;
 }
 
+/** Makes an attempt that is started by its user. */
+export type Transmit = (
+  call: IncomingCall,
+  target: Target,
+  observer: AttemptObserver,
+) => RunningAttempt;
+
 /** Attempts at targets, with what they teach about the targets. */
 export class Delivery implements DeliveryContext {
   readonly clock: Clock;
@@ -63,6 +82,8 @@
 
   private readonly startedAt: number;
 
+  private readonly transmit: Transmit;
+
   private readonly budgets = new Map<string, RetryBudget>();
 
   constructor(private readonly parts: DeliveryParts) {
@@ -77,6 +98,17 @@
       onSuddenClose: (target) => this.parts.onSuddenClose(target),
       onOpened: () => parts.counters.connection(),
     });
+    this.transmit =
+      parts.transmit ??
+      ((call, target, observer) =>
+        new Attempt(
+          call,
+          target,
+          parts.protocol,
+          this.connections.of(target),
+          this.clock,
+          observer,
+        ));
   }
 
   /** Follows a change of the catalog. */
@@ -97,30 +129,28 @@
   openAttempt(
     call: IncomingCall,
     targetId: string,
-    onEnd: (attempt: Attempt, result: AttemptResult) => void,
-  ): Attempt {
+    onEnd: (attempt: RunningAttempt, result: AttemptResult) => void,
+  ): RunningAttempt {
     const { clock, parts } = this;
     const target = parts.catalog().targets.get(targetId)!;
     parts.counters.attempt(call.service);
+    const held = this.knowledge.get(targetId);
+    const before = {
+      pace: held?.pace ?? USUAL_PACE,
+      load: held === undefined ? 0 : this.knowledge.load(held),
+    };
     this.knowledge.noteSent(targetId);
     let abandon: Timer | null = null;
-    const paceAtStart = this.knowledge.get(targetId)?.pace ?? 100;
-    const attempt: Attempt = new Attempt(
-      call,
-      target,
-      parts.protocol,
-      this.connections.of(target),
-      clock,
-      {
-        onHead: (sent, head) => this.learnFromHead(sent, head, paceAtStart),
-        onEnd: (ended, result) => {
-          abandon?.cancel();
-          this.knowledge.noteEnded(targetId);
-          this.learnFromEnd(ended, result);
-          onEnd(ended, result);
-        },
+    const attempt = this.transmit(call, target, {
+      onHead: (sent, head) => this.learnFromHead(sent, head, before),
+      onEnd: (ended, result) => {
+        abandon?.cancel();
+        this.knowledge.noteEnded(targetId);
+        this.learnFromEnd(ended, result);
+        this.placer.lineOf(call.service).wake(WOKEN_BY_END);
+        onEnd(ended, result);
       },
-    );
+    });
     abandon = clock.setTimer(call.deadline + ABANDON_MS, () => attempt.abort());
     return attempt;
   }
@@ -135,22 +165,26 @@
     return isTaken;
   }
 
-  private learnFromHead(attempt: Attempt, head: AnswerHead, paceAtStart: number): void {
+  private learnFromHead(attempt: RunningAttempt, head: AnswerHead, before: TargetBefore): void {
     const { load, coldLeft } = head.facts;
     const isOwnAnswer = head.facts.callId === null || head.facts.callId === attempt.call.id;
     if (!isOwnAnswer || head.status === 421) return;
     const isGood = head.status < 500;
     if (isGood && attempt.sentAt !== null) {
       const elapsed = this.clock.now() - attempt.sentAt;
-      const pace = ((load?.pace ?? paceAtStart) + paceAtStart) / 2;
-      this.placer.noteAnswer(attempt.call, elapsed, pace);
+      const pace = ((load?.pace ?? before.pace) + before.pace) / 2;
+      this.placer.noteAnswer(attempt.call, attempt.target, {
+        ...{ elapsedMs: elapsed, pace },
+        loadBefore: before.load,
+      });
       this.parts.counters.attemptTime(attempt.call.service, elapsed);
     }
-    const sight: TargetSight = isGood || head.facts.saysNotRun ? 'answer' : 'failure';
+    const bad: TargetSight = head.facts.saysNotRun ? 'refusal' : 'failure';
+    const sight: TargetSight = isGood ? 'answer' : bad;
     this.report(attempt.target, sight, load, coldLeft);
   }
 
-  private learnFromEnd(attempt: Attempt, result: AttemptResult): void {
+  private learnFromEnd(attempt: RunningAttempt, result: AttemptResult): void {
     const { target, call } = attempt;
     if (result.end === 'answered') this.crashes.noteAnswered(call);
     if (result.error === 'aborted' || result.error === null) return;
--- a/src/delivery/deliveryContext.ts
+++ b/src/delivery/deliveryContext.ts
@@ -2,7 +2,7 @@
 import { type EventSink } from '../logging';
 import { type Clock, type Random } from '../runtime';
 
-import { type Attempt } from './attempt';
+import { type RunningAttempt } from './runningAttempt';
 import { type AttemptResult } from './attemptResult';
 import { type CrashGuard } from './crashGuard';
 import { type IncomingCall } from './incomingCall';
@@ -20,8 +20,8 @@
   openAttempt(
     call: IncomingCall,
     targetId: string,
-    onEnd: (attempt: Attempt, result: AttemptResult) => void,
-  ): Attempt;
+    onEnd: (attempt: RunningAttempt, result: AttemptResult) => void,
+  ): RunningAttempt;
   /** Counts the first attempt of a call to a service. */
   noteFirst(service: string): void;
   /** Takes one repeat from the budget of a service; false when it is spent. */
--- a/src/delivery/index.ts
+++ b/src/delivery/index.ts
@@ -1,12 +1,16 @@
+export { type AnswerHead } from './answerHead';
 export { type AnswerFacts, type TargetLoad } from './answerFacts';
 export { type CallProtocol } from './callProtocol';
 export { type IncomingCall } from './incomingCall';
+export { type RunningAttempt } from './runningAttempt';
+export { type AttemptObserver } from './attemptObserver';
+export { type AttemptResult } from './attemptResult';
 export { Attempt } from './attempt';
 export { TargetConnection } from './targetConnection';
 export { ConnectionTable } from './connectionTable';
 export { Placer, type PlacerParts } from './placer';
 export { CrashGuard, type CrashTeller } from './crashGuard';
-export { Delivery, type DeliveryParts, type DeliveryCounters } from './delivery';
+export { Delivery, type DeliveryParts, type DeliveryCounters, type Transmit } from './delivery';
 export { CallRun } from './callRun';
 export { type CallEnd } from './callEnd';
 export { CallServer, type CallObserver } from './callServer';
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -1,16 +1,30 @@
-import { type Catalog, type Target } from '../catalog';
-import { type KnowledgeTable, type WorkEstimates } from '../knowledge';
+import { type Catalog, type Configuration, type Route, type Target } from '../catalog';
+import { type FullSlowdowns, type KnowledgeTable, type WorkEstimates } from '../knowledge';
 import {
   type CallNeeds,
   type Candidate,
   chooseTarget,
   ColdAllowance,
   type Placement,
+  type Waiting,
+  WaitingLine,
 } from '../placement';
 import { type Clock, type Random } from '../runtime';
 
 import { type IncomingCall } from './incomingCall';
 
+// A target that worked at up to this pace during a call tells how quick it is when it is full.
+const STEADY_PACE = 120;
+
+/** What an answer tells of the work at its target. */
+export interface AnswerSeen {
+  readonly elapsedMs: number;
+  /** Mean pace of the target while it ran the call, in percent of the usual. */
+  readonly pace: number;
+  /** Other calls at the target when the call was sent. */
+  readonly loadBefore: number;
+}
+
 /** What the placer reads of its host. */
 export interface PlacerParts {
   readonly clock: Clock;
@@ -19,6 +33,7 @@
   readonly catalog: () => Catalog;
   readonly knowledge: KnowledgeTable;
   readonly work: WorkEstimates;
+  readonly slowdowns: FullSlowdowns;
   /** Whether a free connection to the target is open. */
   readonly isConnected: (target: Target) => boolean;
   /** Calls a second that this host may send to a cold target whose service carries `rate`. */
@@ -33,6 +48,13 @@
 export class Placer {
   private readonly cold: ColdAllowance;
 
+  private readonly lines = new Map<string, WaitingLine>();
+
+  private ranks: { readonly of: Configuration | null; readonly byCall: Map<string, number> } = {
+    of: null,
+    byCall: new Map(),
+  };
+
   constructor(private readonly parts: PlacerParts) {
     this.cold = new ColdAllowance(parts.clock);
   }
@@ -55,14 +77,47 @@
     return this.parts.work.get(kindOf(call), call.route.latencyObjectiveMs);
   }
 
-  /** Takes the time of an answer into the estimate of the work. */
-  noteAnswer(call: IncomingCall, elapsedMs: number, pace: number): void {
-    this.parts.work.note(kindOf(call), call.route.latencyObjectiveMs, elapsedMs, pace);
+  /** Takes the time of an answer of a target that held `loadBefore` other calls. */
+  noteAnswer(call: IncomingCall, target: Target, seen: AnswerSeen): void {
+    const { elapsedMs, pace, loadBefore } = seen;
+    if (loadBefore >= target.slots) return;
+    if (loadBefore + 1 < target.slots || target.slots === 1) {
+      this.parts.work.note(kindOf(call), call.route.latencyObjectiveMs, elapsedMs, pace);
+    } else if (pace <= STEADY_PACE) {
+      const usualMs = (this.workOf(call) * pace) / 100;
+      this.parts.slowdowns.note(call.service, elapsedMs / usualMs);
+    }
+  }
+
+  /** The calls of this host that wait for a target of a service. */
+  lineOf(service: string): WaitingLine {
+    let line = this.lines.get(service);
+    if (line === undefined) {
+      line = new WaitingLine(this.parts.clock);
+      this.lines.set(service, line);
+    }
+    return line;
+  }
+
+  /** The place of a call in the line of its service. */
+  orderOf(call: IncomingCall): Omit<Waiting, 'wake'> {
+    const objectiveAt = call.arrivedAt + call.route.latencyObjectiveMs;
+    return { rank: this.rankOf(call), latestStart: objectiveAt - this.workOf(call) };
   }
 
   /** 0 for the most urgent priority among the routes of the call's service, 1 for the least. */
   rankOf(call: IncomingCall): number {
-    const routes = this.parts.catalog().configuration?.routes ?? [];
+    const { configuration } = this.parts.catalog();
+    if (this.ranks.of !== configuration) this.ranks = { of: configuration, byCall: new Map() };
+    const key = `${call.route.priority} ${call.service}`;
+    const held = this.ranks.byCall.get(key);
+    if (held !== undefined) return held;
+    const rank = this.findRank(call, configuration?.routes ?? []);
+    this.ranks.byCall.set(key, rank);
+    return rank;
+  }
+
+  private findRank(call: IncomingCall, routes: readonly Route[]): number {
     const priorities = new Set<number>();
     for (const route of routes) {
       if (route.parts.some((part) => part.service === call.service)) priorities.add(route.priority);
@@ -127,6 +182,8 @@
       isIdempotent: route.isIdempotent,
       rank: this.rankOf(call),
       mayWait,
+      isBehind: this.lineOf(call.service).hasBefore(this.orderOf(call)),
+      fullSlowdown: this.parts.slowdowns.get(call.service),
     };
   }
 
--- a/src/knowledge/flightOutbox.ts
+++ b/src/knowledge/flightOutbox.ts
@@ -1,12 +1,16 @@
-import { type Clock, type Timer } from '../runtime';
+import { type Clock, EarliestTimer } from '../runtime';
 
 import { type FlightCounts } from './flightCounts';
 
-// Calls that are placed within this time do not see each other; a target of three slots takes one
-// every 40 ms at its full load. Each neighbour beyond REFERENCE_NEIGHBOURS stretches it, so that a
-// host's datagrams do not grow with its zone.
-const NEAR_BATCH_MS = 4;
-const FAR_BATCH_MS = 10;
+// Hosts that choose within these times of each other do not see each other's calls. A call that leaves
+// few slots free is told at once, since the next one there would wait; others, and ends of calls, are
+// told in larger batches, as a freed slot is first for the calls that wait at the host that freed it.
+const URGENT_NEAR_MS = 1;
+const URGENT_FAR_MS = 2;
+const NEAR_BATCH_MS = 6;
+const FAR_BATCH_MS = 24;
+// Each neighbour beyond this stretches the time for the zone, so that a host's datagrams do not grow
+// with its zone.
 const REFERENCE_NEIGHBOURS = 6;
 // Lost datagrams are made good by the next change or by this repetition.
 const REPEAT_MS = 500;
@@ -27,9 +31,9 @@
 
   private readonly passed = new Map<string, FlightCounts>();
 
-  private nearTimer: Timer | null = null;
+  private readonly nearTimer: EarliestTimer;
 
-  private farTimer: Timer | null = null;
+  private readonly farTimer: EarliestTimer;
 
   private sequence = 0;
 
@@ -37,14 +41,19 @@
     private readonly clock: Clock,
     private readonly hostId: string,
     private readonly sink: FlightSink,
-  ) {}
+  ) {
+    this.nearTimer = new EarliestTimer(clock, () => this.tellZone());
+    this.farTimer = new EarliestTimer(clock, () =>
+      this.sink.spreadFlights([this.takeOwn(this.far)], true),
+    );
+  }
 
   /** Queues the number of calls that this host now has in flight at a target. */
-  note(target: string, calls: number): void {
+  note(target: string, calls: number, isUrgent: boolean): void {
     this.own.set(target, { calls, toldAt: this.clock.now() });
     this.near.add(target);
     this.far.add(target);
-    this.schedule();
+    this.schedule(isUrgent);
   }
 
   /** Queues counts of another zone's host for this zone. */
@@ -54,35 +63,33 @@
       const merged = new Map([...(waiting?.calls ?? []), ...calls]);
       this.passed.set(host, { host, sequence, calls: merged });
     }
-    this.scheduleNear();
+    this.nearTimer.setBy(this.clock.now() + URGENT_NEAR_MS * this.stretch());
   }
 
   /** Repeats what is in flight, so that other hosts keep it; called regularly. */
   turn(): void {
     const now = this.clock.now();
     for (const [target, { calls, toldAt }] of this.own) {
-      if (calls > 0 && now - toldAt >= REPEAT_MS) this.note(target, calls);
+      if (calls > 0 && now - toldAt >= REPEAT_MS) this.note(target, calls, false);
       else if (calls === 0 && now - toldAt >= 2 * REPEAT_MS) this.own.delete(target);
     }
   }
 
-  private schedule(): void {
-    this.scheduleNear();
-    this.farTimer ??= this.clock.setTimer(this.clock.now() + FAR_BATCH_MS, () => {
-      this.farTimer = null;
-      this.sink.spreadFlights([this.takeOwn(this.far)], true);
-    });
+  private schedule(isUrgent: boolean): void {
+    const now = this.clock.now();
+    this.nearTimer.setBy(now + (isUrgent ? URGENT_NEAR_MS : NEAR_BATCH_MS) * this.stretch());
+    this.farTimer.setBy(now + (isUrgent ? URGENT_FAR_MS : FAR_BATCH_MS));
+  }
+
+  private stretch(): number {
+    return Math.max(1, this.sink.neighbourCount() / REFERENCE_NEIGHBOURS);
   }
 
-  private scheduleNear(): void {
-    const stretch = Math.max(1, this.sink.neighbourCount() / REFERENCE_NEIGHBOURS);
-    this.nearTimer ??= this.clock.setTimer(this.clock.now() + NEAR_BATCH_MS * stretch, () => {
-      this.nearTimer = null;
-      const counts = [...this.passed.values()];
-      this.passed.clear();
-      if (this.near.size > 0) counts.push(this.takeOwn(this.near));
-      this.sink.spreadFlights(counts, false);
-    });
+  private tellZone(): void {
+    const counts = [...this.passed.values()];
+    this.passed.clear();
+    if (this.near.size > 0) counts.push(this.takeOwn(this.near));
+    this.sink.spreadFlights(counts, false);
   }
 
   private takeOwn(targets: Set<string>): FlightCounts {
--- a/src/knowledge/index.ts
+++ b/src/knowledge/index.ts
@@ -6,4 +6,5 @@
 export { FlightOutbox, type FlightSink } from './flightOutbox';
 export { ReportOutbox, type ReportSink } from './reportOutbox';
 export { proberOf } from './proberOf';
+export { FullSlowdowns } from './fullSlowdowns';
 export { WorkEstimates } from './workEstimates';
--- a/src/knowledge/knowledgeTable.ts
+++ b/src/knowledge/knowledgeTable.ts
@@ -17,6 +17,8 @@
 // Calls that nobody told of, such as those of a host that is cut off, are assumed to run so long
 // unless a later report shows them again.
 const UNTOLD_LIFE_MS = 250;
+// With this many slots left at a target, the other hosts must know of a call before they choose.
+const FEW_SLOTS = 1;
 
 /** Observations of targets by this host and by the others, the newest of each kind. */
 export class KnowledgeTable {
@@ -25,8 +27,8 @@
   constructor(
     private readonly clock: Clock,
     private readonly flights: FlightTable,
-    /** Told of each change in the number of this host's calls at a target. */
-    private readonly onFlight: (target: string, calls: number) => void,
+    /** Told of each change in the number of this host's calls at a target, and whether it fills it. */
+    private readonly onFlight: (target: string, calls: number, isFilling: boolean) => void,
   ) {}
 
   /** What is known of a target; undefined for one that was never announced. */
@@ -39,7 +41,10 @@
     for (const target of catalog.targets.values()) {
       const held = this.known.get(target.id);
       if (held === undefined || held.startedAt !== target.startedAt) this.begin(target, held);
-      else held.coldUntil = Math.max(held.coldUntil, target.coldUntil);
+      else {
+        held.slots = target.slots;
+        held.coldUntil = Math.max(held.coldUntil, target.coldUntil);
+      }
     }
     for (const id of this.known.keys()) if (!catalog.targets.has(id)) this.known.delete(id);
   }
@@ -68,7 +73,7 @@
     const held = this.known.get(id);
     if (held === undefined) return;
     held.ownInFlight += 1;
-    this.onFlight(id, held.ownInFlight);
+    this.onFlight(id, held.ownInFlight, this.load(held) + FEW_SLOTS >= held.slots);
   }
 
   /** Notes that a call of this host has ended at the target. */
@@ -76,7 +81,7 @@
     const held = this.known.get(id);
     if (held === undefined) return;
     held.ownInFlight = Math.max(0, held.ownInFlight - 1);
-    this.onFlight(id, held.ownInFlight);
+    this.onFlight(id, held.ownInFlight, false);
   }
 
   /** Calls that run or wait at a target at this moment, of all hosts. */
@@ -107,6 +112,11 @@
       case 'failure':
         this.noteResult(held, 1);
         break;
+      case 'refusal':
+        // The target lives, but looks emptier than others just because it runs nothing.
+        held.soundAt = Math.max(held.soundAt, seenAt);
+        this.noteResult(held, 1);
+        break;
       default:
         held.lostAt = Math.max(held.lostAt, seenAt);
     }
@@ -123,6 +133,7 @@
     this.known.set(target.id, {
       id: target.id,
       service: target.service,
+      slots: target.slots,
       startedAt: target.startedAt,
       untold: 0,
       loadAt: -Infinity,
--- a/src/knowledge/reportOutbox.ts
+++ b/src/knowledge/reportOutbox.ts
@@ -92,7 +92,7 @@
   }
 
   private isFarNews(report: TargetReport): boolean {
-    if (report.sight === 'lost' || report.sight === 'failure') return true;
+    if (report.sight !== 'answer' && report.sight !== 'probe') return report.sight !== 'ill';
     if ((report.coldLeft ?? 0) > 0) return true;
     if (report.pace === null) return false;
     const last = this.lastFarPace.get(report.target) ?? 100;
--- a/src/knowledge/targetKnowledge.ts
+++ b/src/knowledge/targetKnowledge.ts
@@ -2,6 +2,7 @@
 export interface TargetKnowledge {
   readonly id: string;
   readonly service: string;
+  slots: number;
   /** Unix time of the start that the knowledge is about; null when it was not announced. */
   startedAt: number | null;
   /** Calls that the target reported at `loadAt` beyond those that hosts told of. */
--- a/src/knowledge/targetReport.ts
+++ b/src/knowledge/targetReport.ts
@@ -15,6 +15,6 @@
 
 /**
  * What kind of observation it was: `answer` of a call, `probe` that was answered well, `ill` probe,
- * `failure` of a call, `lost` for a target that refuses, resets or does not answer connections.
+ * `failure` of a call, `refusal` of a call that was not run, `lost` for a target that refuses, resets or does not answer connections.
  */
-export type TargetSight = 'answer' | 'probe' | 'ill' | 'failure' | 'lost';
+export type TargetSight = 'answer' | 'probe' | 'ill' | 'failure' | 'refusal' | 'lost';
--- a/src/placement/callNeeds.ts
+++ b/src/placement/callNeeds.ts
@@ -9,8 +9,12 @@
   /** Time left until the latency objective; negative when it has passed. */
   readonly objectiveLeftMs: number;
   readonly isIdempotent: boolean;
-  /** Whether there is still time to wait for a better moment. */
+  /** Whether the call may wait at this host for a better moment. */
   readonly mayWait: boolean;
+  /** Whether calls of this host that come before it wait for the same service. */
+  readonly isBehind: boolean;
+  /** How many times longer work takes at a target whose last slot is taken. */
+  readonly fullSlowdown: number;
   /** Rank among the priorities of the service: 0 for the most urgent, 1 for the least. */
   readonly rank: number;
 }
--- a/src/placement/chooseTarget.ts
+++ b/src/placement/chooseTarget.ts
@@ -27,12 +27,27 @@
 // A call is sent only where its answer is expected within this share of the time left.
 const USABLE_TIME_SHARE: readonly number[] = [1.5, 1];
 
+// A service whose full targets are slower by less than this uses all slots without waiting.
+const HARMLESS_SLOWDOWN = 1.15;
+// A call waits only while an answer of a full target would still come within the objective; work
+// varies by about a third.
+const FULL_TARGET_MARGIN = 1.2;
+
+// Longest wait beyond the objective, in objectives.
+const LATE_WAIT_SHARE = 0.5;
+
 interface Rated {
   readonly candidate: Candidate;
   readonly expectedMs: number;
   readonly cost: number;
 }
 
+/** Whether a slot is free that slows nothing down. */
+function isSpare({ load, slots }: Candidate, { fullSlowdown }: CallNeeds): boolean {
+  const isKept = fullSlowdown > HARMLESS_SLOWDOWN && slots > 1;
+  return load + 1 < slots || (!isKept && load < slots);
+}
+
 function rate(candidate: Candidate, needs: CallNeeds, random: Random): Rated {
   const expectedMs = expectedTime(candidate, needs);
   const penalties =
@@ -42,15 +57,31 @@
     (candidate.isIll ? COST_IN_OBJECTIVES.ill : 0);
   // Among targets that answer equally soon, the emptier one leaves more room for a change of pace.
   const occupancy = (candidate.load / candidate.slots) * needs.workMs * OCCUPANCY_WEIGHT;
-  const time = (expectedMs + occupancy) * (1 + JITTER * random.next());
+  // The call in the last slot slows down those in the others, which are half done on average.
+  const harm = isSpare(candidate, needs)
+    ? 0
+    : ((needs.fullSlowdown - 1) * needs.workMs * (candidate.slots - 1)) / 2;
+  const time = (expectedMs + occupancy + harm) * (1 + JITTER * random.next());
   return { candidate, expectedMs, cost: time + penalties * needs.objectiveMs };
 }
 
+// Waiting for a free slot of any target is better than the queue of one; it ends when only an answer
+// of a full target can still come in time.
+function mayWaitForSlot({ mayWait, objectiveLeftMs, workMs, fullSlowdown }: CallNeeds): boolean {
+  return mayWait && objectiveLeftMs > workMs * fullSlowdown * FULL_TARGET_MARGIN;
+}
+
 function reasonOf(best: Rated, needs: CallNeeds): PlacementReason {
   if (best.expectedMs > needs.objectiveLeftMs) return 'leastBad';
   return best.candidate.isNear ? 'quickestNear' : 'quickestFar';
 }
 
+// A call that is late in any case takes only slots that slow nothing down and that no call in time
+// waits for; after as long as its objective again its caller does better at another host.
+function mayWaitLate({ objectiveLeftMs, objectiveMs, leftMs, workMs }: CallNeeds): boolean {
+  return objectiveLeftMs > -LATE_WAIT_SHARE * objectiveMs && leftMs > workMs;
+}
+
 /**
  * Places a call at the target with the least expected time, as corrected for distance, failures
  * and chance. Cold targets and those that may have started again take no part here.
@@ -71,7 +102,17 @@
   if (best === null) return { kind: 'wait', reason: hasCold ? 'allCold' : 'noTarget' };
   const isLate = best.expectedMs > needs.objectiveLeftMs;
   const isQueued = best.candidate.load >= best.candidate.slots;
-  if (isLate && needs.mayWait) return { kind: 'wait', reason: 'overloaded' };
+  const isOnSpare = isSpare(best.candidate, needs);
+  const hasSlot = isOnSpare && !isLate;
+  if ((!hasSlot || needs.isBehind) && mayWaitForSlot(needs)) {
+    return { kind: 'wait', reason: 'overloaded' };
+  }
+  const isHarmful = !isOnSpare && !isQueued && needs.fullSlowdown > HARMLESS_SLOWDOWN;
+  const mustYield = isLate ? needs.isBehind || !isOnSpare : isHarmful && needs.rank > 0;
+  if (mustYield && needs.mayWait) {
+    if (mayWaitLate(needs)) return { kind: 'wait', reason: 'overloaded' };
+    if (isLate) return { kind: 'refuse', reason: 'overloaded' };
+  }
   if (isQueued && best.expectedMs > Math.max(needs.objectiveLeftMs, needs.workMs) * QUEUE_SHARE) {
     return { kind: 'refuse', reason: 'overloaded' };
   }
@@ -82,6 +123,6 @@
     target: best.candidate.target,
     expectedMs: best.expectedMs,
     reason: reasonOf(best, needs),
-    hasRoom: best.candidate.load + 1 < best.candidate.slots,
+    hasRoom: hasSlot && !needs.isBehind,
   };
 }
--- a/src/placement/expectedTime.ts
+++ b/src/placement/expectedTime.ts
@@ -8,8 +8,6 @@
 const FAR_PACE_HALF_LIFE_MS = 6000;
 // Mean pace of a target of which nothing fresh is known: some are several times slower.
 const UNKNOWN_PACE = 180;
-// Some targets slow down when their last slot is taken.
-const NEARLY_FULL_FACTOR = 1.5;
 // A round trip within a zone and between zones, in milliseconds.
 const NEAR_ROUND_TRIP_MS = 1;
 const FAR_ROUND_TRIP_MS = 3;
@@ -28,7 +26,7 @@
   const work = (needs.workMs * currentPace(candidate)) / 100;
   const ahead = candidate.load - candidate.slots + 1;
   const roundTrip = candidate.isNear ? NEAR_ROUND_TRIP_MS : FAR_ROUND_TRIP_MS;
-  if (ahead > 0) return work * (NEARLY_FULL_FACTOR + ahead / candidate.slots) + roundTrip;
+  if (ahead > 0) return work * needs.fullSlowdown * (1 + ahead / candidate.slots) + roundTrip;
   const isLastSlot = ahead === 0 && candidate.slots > 1;
-  return work * (isLastSlot ? NEARLY_FULL_FACTOR : 1) + roundTrip;
+  return work * (isLastSlot ? needs.fullSlowdown : 1) + roundTrip;
 }
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -7,6 +7,7 @@
 export { type AttemptEnd } from './attemptEnd';
 export { decideNext, type NextInput, type NextStep } from './decideNext';
 export { shouldHedge, hedgeInterval, type HedgeInput } from './hedge';
+export { WaitingLine, type Waiting } from './waitingLine';
 export { retryAfter } from './retryAfter';
 export { RetryBudget, type RetryBounds } from './retryBudget';
 export { ColdAllowance } from './coldAllowance';
--- a/src/placement/retryAfter.ts
+++ b/src/placement/retryAfter.ts
@@ -24,6 +24,8 @@
   allCold: () => [200, 600],
   // A queue of one call a slot is gone after the time of one call; urgent calls return first.
   overloaded: ({ workMs, rank }) => [workMs * (0.5 + 0.5 * rank), workMs * (1.5 + rank)],
+  // Targets that refuse although they have room may take the next call; waiting would make it late.
+  refused: () => [SHORTEST_MS, 2 * SHORTEST_MS],
   outOfTime: () => [SHORTEST_MS, 2 * SHORTEST_MS],
   crashes: ({ leftMs }) => [leftMs, leftMs],
   stopping: () => [SHORTEST_MS, 4 * SHORTEST_MS],
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -3,6 +3,7 @@
 export { SystemClock } from './systemClock';
 export { ManualClock } from './manualClock';
 export { waitUntil } from './waitUntil';
+export { EarliestTimer } from './earliestTimer';
 export { runEvery } from './runEvery';
 export { type Random } from './random';
 export { SeededRandom } from './seededRandom';
--- /dev/null
+++ b/standins/fleet/deployments.ts
@@ -0,0 +1,59 @@
+import { type ModelOptions, type ModelService } from './modelOptions';
+
+type Deployment = Omit<ModelOptions, 'seed' | 'troubles' | 'seconds' | 'policy'>;
+
+function courseService(name: string, targets: readonly number[]): ModelService {
+  return {
+    ...{ name, targets, slots: 3, queue: 6, whenFull: 'reset', kneeFactor: 1.7, kneeShare: 0.8 },
+    noise: { share: 0.35, factor: 7, everyMs: 500 },
+  };
+}
+
+function roundService(name: string, targets: readonly number[]): ModelService {
+  return {
+    ...{ name, targets, slots: 6, queue: 24, whenFull: 'refuse', kneeFactor: 1, kneeShare: 1 },
+    noise: { share: 0.25, factor: 7, everyMs: 500 },
+  };
+}
+
+/** The course bookings of the brief: few small targets that slow down when they are full. */
+export const COURSES: Deployment = {
+  zones: ['a', 'b', 'c'],
+  hosts: [5, 5, 3],
+  services: [courseService('calendar', [5, 5, 4]), courseService('booking', [2, 2, 2])],
+  kinds: [
+    {
+      ...{ name: 'calendar-read', service: 'calendar', perSecond: 80, workMs: 120 },
+      ...{ objectiveMs: 300, timeLimitMs: 800, isIdempotent: true, priority: 2, retries: 1 },
+    },
+    {
+      ...{ name: 'trip-pay', service: 'calendar', perSecond: 10, workMs: 84 },
+      ...{ objectiveMs: 250, timeLimitMs: 900, isIdempotent: false, priority: 0, retries: 1 },
+    },
+    {
+      ...{ name: 'seat-book', service: 'booking', perSecond: 27, workMs: 160 },
+      ...{ objectiveMs: 400, timeLimitMs: 1000, isIdempotent: false, priority: 1, retries: 1 },
+    },
+  ],
+};
+
+/** The gully rounds of the brief: larger targets that queue many calls. */
+export const ROUNDS: Deployment = {
+  zones: ['a', 'b', 'c'],
+  hosts: [6, 6, 5],
+  services: [roundService('round-sheets', [4, 6, 6]), roundService('closeout-log', [5, 3, 3])],
+  kinds: [
+    {
+      ...{ name: 'pit-lookup', service: 'round-sheets', perSecond: 260, workMs: 94 },
+      ...{ objectiveMs: 250, timeLimitMs: 1200, isIdempotent: true, priority: 2, retries: 2 },
+    },
+    {
+      ...{ name: 'flood-watch', service: 'round-sheets', perSecond: 60, workMs: 38 },
+      ...{ objectiveMs: 120, timeLimitMs: 700, isIdempotent: true, priority: 1, retries: 2 },
+    },
+    {
+      ...{ name: 'pit-closeout', service: 'closeout-log', perSecond: 130, workMs: 120 },
+      ...{ objectiveMs: 300, timeLimitMs: 1500, isIdempotent: false, priority: 1, retries: 2 },
+    },
+  ],
+};
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -11,6 +11,15 @@
 const SERVICE = 'lookup';
 const LOST = (_request: unknown, response: ServerResponse) => response.socket!.destroy();
 const SLOW = () => {};
+// A caller's own limit; a call that has not reached its target by then is lost.
+const REACH_MS = 5000;
+// Targets must not work for callers that left half a second ago.
+const CANCEL_MS = 500;
+
+async function until(holds: () => boolean, mostMs: number): Promise<void> {
+  const end = performance.now() + mostMs;
+  while (!holds() && performance.now() < end) await sleep(5);
+}
 
 interface Started {
   readonly fleet: LocalFleet;
@@ -176,11 +185,18 @@
   const { fleet, targets } = await start([new RawTarget(SLOW)], 2);
   for (const url of fleet.urls) {
     const caller = new AbortController();
+    const received = targets[0]!.requests.length;
     const call = request(`${url}/${SERVICE}/x`, { signal: caller.signal, method: 'POST' });
-    setTimeout(() => caller.abort(), 50);
-    await expect(call).rejects.toThrow();
+    // A caller that left before its call reached the target would leave nothing to cancel.
+    const left = call.then(
+      () => 'answered',
+      () => 'gone',
+    );
+    await until(() => targets[0]!.requests.length > received, REACH_MS);
+    caller.abort();
+    expect(await left).toBe('gone');
   }
-  await sleep(50);
+  await until(() => targets[0]!.cancelled === 2, CANCEL_MS);
   expect(targets[0]!.cancelled).toBe(2);
 });
 
--- a/test/placement/chooseTarget.test.ts
+++ b/test/placement/chooseTarget.test.ts
@@ -26,6 +26,8 @@
   isIdempotent: true,
   rank: 0,
   mayWait: false,
+  isBehind: false,
+  fullSlowdown: 1.5,
 };
 
 function chosen(
@@ -108,6 +110,26 @@
     expect(chosen([slow])).toBe('t');
   });
 
+  // Load pattern: all targets have only their last slot free, which slows down the calls beside it.
+  it('waits for a slot that slows nothing down while its answer would be in time', () => {
+    const full = candidate({ slots: 3, load: 2 });
+    const waiting = { ...NEEDS, mayWait: true };
+    expect(chosen([full], waiting)).toBe('wait overloaded');
+    expect(chosen([full], { ...waiting, objectiveLeftMs: 160 })).toBe('t');
+    // Where full targets are as quick as others, the last slot is as good as any.
+    expect(chosen([full], { ...waiting, fullSlowdown: 1 })).toBe('t');
+  });
+
+  // Load pattern: a burst above the capacity; calls that are late already would make others late.
+  it('lets late calls wait behind those in time, then refuses them', () => {
+    const busy = candidate({ slots: 3, load: 2 });
+    const late = { ...NEEDS, mayWait: true, objectiveLeftMs: 20 };
+    expect(chosen([busy], late)).toBe('wait overloaded');
+    expect(chosen([candidate()], { ...late, isBehind: true })).toBe('wait overloaded');
+    expect(chosen([candidate()], late)).toBe('t');
+    expect(chosen([busy], { ...late, objectiveLeftMs: -200 })).toBe('refuse overloaded');
+  });
+
   // Load pattern: many hosts decide within the same few milliseconds.
   it('does not let all hosts take the same one of several equal targets', () => {
     const equal = ['a', 'b', 'c', 'd'].map((target) => candidate({ target }));
--- a/test/placement/otherDecisions.test.ts
+++ b/test/placement/otherDecisions.test.ts
@@ -60,6 +60,12 @@
     expect(Math.max(...times) - Math.min(...times)).toBeGreaterThan(50);
   });
 
+  // Load pattern: all targets refuse a share of their calls at once although they have room.
+  it('is short when targets refused a call without being full', () => {
+    const input = { leftMs: 1000, workMs: 100, rank: 1 };
+    expect(retryAfter('refused', input, new SeededRandom(3))).toBeLessThanOrEqual(40);
+  });
+
   // Guards against urgent calls that come back behind the others.
   it('is earlier for urgent calls', () => {
     const random = new SeededRandom(3);
