--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -102,8 +102,8 @@
     const { protocol } = adapter;
     const catalog = () => this.ledger.catalog();
     this.flights = new FlightTable(clock);
-    this.knowledge = new KnowledgeTable(clock, this.flights, (target, calls, isFilling) =>
-      this.flightOutbox.note(target, calls, isFilling),
+    this.knowledge = new KnowledgeTable(clock, this.flights, (...change) =>
+      this.flightOutbox.note(...change),
     );
     this.beliefs = new BeliefLog(clock, this.knowledge, events);
     this.crashTable = new CrashTable(clock);
--- a/src/balancer/runBalancer.ts
+++ b/src/balancer/runBalancer.ts
@@ -1,7 +1,7 @@
 import { Lifecycle } from '../lifecycle';
 import { BufferedWriter, LineLog } from '../logging';
 import { TextSink } from '../metrics';
-import { SeededRandom, SystemClock } from '../runtime';
+import { SeededRandom, SystemClock, waitUntil } from '../runtime';
 import {
   BALANCER_SETTINGS,
   type BalancerSettings,
@@ -18,6 +18,8 @@
 import { watchSettings } from './settingsWatch';
 import { finishCalls } from './stop';
 
+// A connection or a watch that does not close must not keep the process until it is killed.
+const CLOSE_MS = 150;
 const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
 // Lines that wait for a slow reader of the log count as memory of the host.
@@ -97,7 +99,14 @@
   const graceMs = settings['stop-grace-s'] * 1000;
   await finishCalls({ clock, events, calls: balancer.calls, graceMs });
   events.emit(BALANCER_EVENTS.stopped);
-  await lifecycle.close();
+  const closed = await Promise.race([
+    lifecycle.close().then(() => true),
+    waitUntil(clock, clock.now() + CLOSE_MS).then(() => false),
+  ]);
+  if (!closed) {
+    events.emit(BALANCER_EVENTS.closeFailed, { open: lifecycle.open() });
+    await writer.close();
+  }
   return 0;
 }
 
--- a/src/knowledge/flightOutbox.ts
+++ b/src/knowledge/flightOutbox.ts
@@ -7,8 +7,11 @@
 // told in larger batches, as a freed slot is first for the calls that wait at the host that freed it.
 const URGENT_NEAR_MS = 1;
 const URGENT_FAR_MS = 2;
-const NEAR_BATCH_MS = 6;
-const FAR_BATCH_MS = 24;
+// The more slots a target has left, the later its next call matters to the others.
+const NEAR_BATCH_MS_A_SLOT = 4;
+const FAR_BATCH_MS_A_SLOT = 10;
+const MOST_NEAR_BATCH_MS = 20;
+const MOST_FAR_BATCH_MS = 50;
 // Each neighbour beyond this stretches the time for the zone, so that a host's datagrams do not grow
 // with its zone.
 const REFERENCE_NEIGHBOURS = 6;
@@ -48,12 +51,15 @@
     );
   }
 
-  /** Queues the number of calls that this host now has in flight at a target. */
-  note(target: string, calls: number, isUrgent: boolean): void {
+  /**
+   * Queues the number of calls that this host now has in flight at a target, which has `room` slots
+   * left; `isUrgent` when a call has just taken one of the last.
+   */
+  note(target: string, calls: number, room: number, isUrgent: boolean): void {
     this.own.set(target, { calls, toldAt: this.clock.now() });
     this.near.add(target);
     this.far.add(target);
-    this.schedule(isUrgent);
+    this.schedule(room, isUrgent);
   }
 
   /** Queues counts of another zone's host for this zone. */
@@ -70,15 +76,18 @@
   turn(): void {
     const now = this.clock.now();
     for (const [target, { calls, toldAt }] of this.own) {
-      if (calls > 0 && now - toldAt >= REPEAT_MS) this.note(target, calls, false);
+      if (calls > 0 && now - toldAt >= REPEAT_MS) this.note(target, calls, Infinity, false);
       else if (calls === 0 && now - toldAt >= 2 * REPEAT_MS) this.own.delete(target);
     }
   }
 
-  private schedule(isUrgent: boolean): void {
+  private schedule(room: number, isUrgent: boolean): void {
     const now = this.clock.now();
-    this.nearTimer.setBy(now + (isUrgent ? URGENT_NEAR_MS : NEAR_BATCH_MS) * this.stretch());
-    this.farTimer.setBy(now + (isUrgent ? URGENT_FAR_MS : FAR_BATCH_MS));
+    const slots = Math.max(1, room);
+    const nearMs = Math.min(NEAR_BATCH_MS_A_SLOT * slots, MOST_NEAR_BATCH_MS);
+    const farMs = Math.min(FAR_BATCH_MS_A_SLOT * slots, MOST_FAR_BATCH_MS);
+    this.nearTimer.setBy(now + (isUrgent ? URGENT_NEAR_MS : nearMs) * this.stretch());
+    this.farTimer.setBy(now + (isUrgent ? URGENT_FAR_MS : farMs));
   }
 
   private stretch(): number {
--- a/src/knowledge/knowledgeTable.ts
+++ b/src/knowledge/knowledgeTable.ts
@@ -1,6 +1,7 @@
 import { type Catalog, type Target } from '../catalog';
 import { type Clock } from '../runtime';
 
+import { type FlightListener } from './flightListener';
 import { type FlightTable } from './flightTable';
 import { type TargetKnowledge } from './targetKnowledge';
 import { type TargetReport } from './targetReport';
@@ -27,8 +28,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly flights: FlightTable,
-    /** Told of each change in the number of this host's calls at a target, and whether it fills it. */
-    private readonly onFlight: (target: string, calls: number, isFilling: boolean) => void,
+    private readonly onFlight: FlightListener,
   ) {}
 
   /** What is known of a target; undefined for one that was never announced. */
@@ -73,7 +73,8 @@
     const held = this.known.get(id);
     if (held === undefined) return;
     held.ownInFlight += 1;
-    this.onFlight(id, held.ownInFlight, this.load(held) + FEW_SLOTS >= held.slots);
+    const room = held.slots - this.load(held);
+    this.onFlight(id, held.ownInFlight, room, room <= FEW_SLOTS);
   }
 
   /** Notes that a call of this host has ended at the target. */
@@ -81,7 +82,7 @@
     const held = this.known.get(id);
     if (held === undefined) return;
     held.ownInFlight = Math.max(0, held.ownInFlight - 1);
-    this.onFlight(id, held.ownInFlight, false);
+    this.onFlight(id, held.ownInFlight, held.slots - this.load(held), false);
   }
 
   /** Calls that run or wait at a target at this moment, of all hosts. */
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -67,8 +67,8 @@
       spreadFlights: (counts, isFar) => world.spreadFlights(counts, isFar),
       neighbourCount,
     });
-    this.knowledge = new KnowledgeTable(clock, this.flights, (target, calls, isFilling) =>
-      this.flightOutbox.note(target, calls, isFilling),
+    this.knowledge = new KnowledgeTable(clock, this.flights, (...change) =>
+      this.flightOutbox.note(...change),
     );
     this.outbox = new ReportOutbox(clock, {
       spreadReports: (reports, isFar) => world.spreadReports(reports, isFar),
