Read the catalog at once after a restart; log the inputs of waits and refusals

Change: a host that is not in the first start of the whole system (new setting first-start, from the platform's field) reads the catalog itself until it knows a configuration. Events of a call that waits or is refused name the best target with its load, pace, slots and their ages, the time left to the objective, and how many calls wait.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -25,7 +25,7 @@
 import { type TextSink } from '../metrics';
 import { type Clock, type Random, runEvery } from '../runtime';
 import { type BalancerSettings } from '../settings';
-import { CatalogReader, shouldRead, SOURCE_EVENTS } from '../source';
+import { CatalogReader, mustRead, SOURCE_EVENTS } from '../source';
 import { CrashTable } from '../suspects';
 import { JsonClient } from '../transport';
 
@@ -61,9 +61,6 @@
   return address.slice(0, address.lastIndexOf(':'));
 }
 
-// A host that hears no neighbour by then reads the catalog itself.
-const JOIN_MS = 250;
-
 /** One host of the system: everything that a process does between start and stop. */
 export class Balancer {
   readonly calls: CallServer;
@@ -290,12 +287,15 @@
     return new CatalogReader({
       ...{ clock, random, events, ledger: this.ledger },
       source: adapter.openSource(settings.source, clock, events),
-      mustRead: () => {
-        // Neighbours are heard within a moment after the start, and one of them reads for all.
-        const isSettling = clock.now() - startedAt < JOIN_MS;
-        if (isSettling && this.exchange.membership.neighbours().length === 0) return false;
-        return !this.isStopping && shouldRead(hostId, sourceReports(this.exchange.membership));
-      },
+      mustRead: () =>
+        mustRead({
+          hostId,
+          isStopping: this.isStopping,
+          isFirstStart: settings['first-start'],
+          knowsConfiguration: this.ledger.catalog().configuration !== null,
+          ageMs: clock.now() - startedAt,
+          neighbours: sourceReports(this.exchange.membership),
+        }),
       onChanges: (changes, news) => {
         metrics.increment(BALANCER_METRICS.reads);
         // All of the records: hosts that take the changes count themselves complete up to their end.
--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -307,7 +307,7 @@
 
   private log(placement: Placement): void {
     if (placement.kind === 'wait' && this.waiting !== null) return;
-    const detail = this.context.placer.explain(placement);
+    const detail = this.context.placer.explain(this.call, placement);
     this.context.events.emit(DELIVERY_EVENTS.placed, {
       call: this.call.id,
       route: this.call.route.name,
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -128,14 +128,19 @@
   }
 
   /** The inputs of a placement, for the log. */
-  explain(placement: Placement): Readonly<Record<string, unknown>> {
-    const { asOf } = this.parts.catalog();
-    if (placement.kind !== 'send') return { asOf };
-    const held = this.parts.knowledge.get(placement.target);
-    if (held === undefined) return { asOf };
+  explain(call: IncomingCall, placement: Placement): Readonly<Record<string, unknown>> {
     const now = this.parts.clock.now();
+    const common = {
+      asOf: this.parts.catalog().asOf,
+      objectiveLeftMs: Math.round(call.arrivedAt + call.route.latencyObjectiveMs - now),
+      waiting: this.lineOf(call.service).size(),
+    };
+    const target = placement.kind === 'send' ? placement.target : placement.best;
+    const held = target === null ? undefined : this.parts.knowledge.get(target);
+    if (held === undefined) return common;
     return {
-      asOf,
+      ...common,
+      slots: held.slots,
       pace: held.pace,
       paceAge: Math.round(now - held.paceAt),
       load: this.parts.knowledge.load(held),
--- a/src/placement/chooseTarget.ts
+++ b/src/placement/chooseTarget.ts
@@ -99,25 +99,26 @@
     const rated = rate(candidate, needs, random);
     if (best === null || rated.cost < best.cost) best = rated;
   }
-  if (best === null) return { kind: 'wait', reason: hasCold ? 'allCold' : 'noTarget' };
+  if (best === null) {
+    return { kind: 'wait', reason: hasCold ? 'allCold' : 'noTarget', best: null };
+  }
+  const waits = { kind: 'wait', reason: 'overloaded', best: best.candidate.target } as const;
+  const refusal = { ...waits, kind: 'refuse' } as const;
   const isLate = best.expectedMs > needs.objectiveLeftMs;
   const isQueued = best.candidate.load >= best.candidate.slots;
   const isOnSpare = isSpare(best.candidate, needs);
   const hasSlot = isOnSpare && !isLate;
-  if ((!hasSlot || needs.isBehind) && mayWaitForSlot(needs)) {
-    return { kind: 'wait', reason: 'overloaded' };
-  }
+  if ((!hasSlot || needs.isBehind) && mayWaitForSlot(needs)) return waits;
   const isHarmful = !isOnSpare && !isQueued && needs.fullSlowdown > HARMLESS_SLOWDOWN;
   const mustYield = isLate ? needs.isBehind || !isOnSpare : isHarmful && needs.rank > 0;
   if (mustYield && needs.mayWait) {
-    if (mayWaitLate(needs)) return { kind: 'wait', reason: 'overloaded' };
-    if (isLate) return { kind: 'refuse', reason: 'overloaded' };
-  }
-  if (isQueued && best.expectedMs > Math.max(needs.objectiveLeftMs, needs.workMs) * QUEUE_SHARE) {
-    return { kind: 'refuse', reason: 'overloaded' };
+    if (mayWaitLate(needs)) return waits;
+    if (isLate) return refusal;
   }
+  if (isQueued && best.expectedMs > Math.max(needs.objectiveLeftMs, needs.workMs) * QUEUE_SHARE)
+    return refusal;
   const share = USABLE_TIME_SHARE[Math.min(needs.rank, 1)]!;
-  if (best.expectedMs > needs.leftMs * share) return { kind: 'refuse', reason: 'overloaded' };
+  if (best.expectedMs > needs.leftMs * share) return refusal;
   return {
     kind: 'send',
     target: best.candidate.target,
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -10,8 +10,12 @@
       /** The target has a free slot beyond the one that the call takes. */
       readonly hasRoom: boolean;
     }
-  | { readonly kind: 'wait'; readonly reason: RefusalReason }
-  | { readonly kind: 'refuse'; readonly reason: RefusalReason };
+  | {
+      readonly kind: 'wait' | 'refuse';
+      readonly reason: RefusalReason;
+      /** The target that would have been chosen; null when none may be used. */
+      readonly best: string | null;
+    };
 
 /** Which rule chose the target. */
 export type PlacementReason = 'quickestNear' | 'quickestFar' | 'leastBad' | 'onlyCold';
--- a/src/settings/balancerSettings.ts
+++ b/src/settings/balancerSettings.ts
@@ -68,6 +68,14 @@
     unit: 'IP:port',
     description: 'Where the catalog is published.',
   },
+  'first-start': {
+    schema: z.enum(['true', 'false']).transform((text) => text === 'true'),
+    fallback: 'true',
+    unit: '',
+    description:
+      'Whether all hosts start together before there are callers; a host that starts later reads ' +
+      'the catalog itself at once.',
+  },
   'stop-grace-s': {
     schema: positive,
     fallback: '30',
--- a/src/source/shouldRead.ts
+++ b/src/source/shouldRead.ts
@@ -1,12 +1,6 @@
 import { rendezvousOrder } from '../runtime';
 
-import { type SourceState } from './sourceState';
-
-/** What one host of the zone last said of its reading. */
-export interface SourceReport {
-  readonly hostId: string;
-  readonly state: SourceState;
-}
+import { type SourceReport } from './sourceReport';
 
 /**
  * Whether `hostId` reads the catalog for its zone: the first live host in the order of the zone
