--- /dev/null
+++ b/standins/fleet/modelCatalog.ts
@@ -0,0 +1,42 @@
+import {
+  buildCatalog,
+  type Catalog,
+  type CatalogFact,
+  type Configuration,
+  type Route,
+  type Target,
+} from '../../src/catalog';
+
+import { type ModelOptions } from './modelOptions';
+
+/** The catalog of a modelled deployment. */
+export function modelCatalog({ kinds, services, zones }: ModelOptions): Catalog {
+  const routes: Route[] = kinds.map((kind) => ({
+    ...{ name: kind.name, hostName: 'model', prefix: `/${kind.name}/` },
+    ...{ isIdempotent: kind.isIdempotent, timeLimitMs: kind.timeLimitMs },
+    ...{ latencyObjectiveMs: kind.objectiveMs, priority: kind.priority, mostAttempts: 2 },
+    parts: [{ service: kind.service, weight: 1 }],
+  }));
+  const configuration: Configuration = {
+    ...{ version: 1, routes },
+    services: services.map(({ name }) => ({
+      ...{ name, probePath: '/', connectionLimit: 200 },
+      ...{ coldPeriodMs: 3000, coldRatePerSecond: 8 },
+    })),
+    limits: { headerBytes: 16_384, bodyBytes: 1e6, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+  };
+  const targets: Target[] = services.flatMap((service) =>
+    zones.flatMap((zone, index) =>
+      Array.from({ length: service.targets[index]! }, (_, number) => ({
+        ...{ id: `${service.name}-${zone}-${number}`, service: service.name, zone },
+        ...{ address: '', slots: service.slots, state: 'ready' as const },
+        ...{ coldUntil: 0, startedAt: 1 },
+      })),
+    ),
+  );
+  const facts: CatalogFact[] = [
+    { kind: 'configuration', configuration },
+    ...targets.map((target) => ({ kind: 'target' as const, target })),
+  ];
+  return buildCatalog(1, facts, null);
+}
