--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -1,5 +1,6 @@
 import { match } from 'ts-pattern';
 
+import { USUAL_PACE } from '../knowledge';
 import { type Timer } from '../runtime';
 import {
   type AttemptEnd,
@@ -170,7 +171,7 @@
       elapsedMs: now - first.sentAt,
       objectiveLeftMs: this.call.arrivedAt + this.call.route.latencyObjectiveMs - now,
       workMs: this.workMs(),
-      pace: held?.pace ?? 100,
+      pace: held?.pace ?? USUAL_PACE,
       isLost: held === undefined || held.lostAt > first.sentAt,
     };
     if (!shouldHedge(input)) return;
