--- a/test/wholePath.test.ts
+++ b/test/wholePath.test.ts
@@ -13,14 +13,30 @@
   return spawn(process.execPath, [GATEWAY, ...flags], { stdio: ['ignore', 'pipe', 'inherit'] });
 }
 
-async function started(gateway: ChildProcess): Promise<void> {
+/** What a gateway writes, for the message of a failed expectation. */
+function collectOutput(gateway: ChildProcess): string[] {
+  const lines: string[] = [];
+  gateway.stdout!.on('data', (chunk: Buffer) => lines.push(...chunk.toString().split('\n')));
+  return lines;
+}
+
+// A fleet of two is established within 6 s on an idle machine; a gateway that is not ready by then
+// says why in its log.
+const READY_LIMIT_MS = 20_000;
+
+async function started(gateway: ChildProcess, output: readonly string[]): Promise<void> {
   await new Promise<void>((resolve, reject) => {
-    let output = '';
-    gateway.stdout!.on('data', (chunk: Buffer) => {
-      output += chunk.toString();
-      if (output.includes('gateway ready')) resolve();
+    const fail = (reason: string) => reject(new Error(`${reason}: ${output.join('\n')}`));
+    const timer = setTimeout(() => fail('gateway not ready'), READY_LIMIT_MS);
+    gateway.stdout!.on('data', () => {
+      if (!output.some((line) => line.includes('gateway ready'))) return;
+      clearTimeout(timer);
+      resolve();
+    });
+    gateway.once('exit', (code) => {
+      clearTimeout(timer);
+      fail(`gateway exited with ${code}`);
     });
-    gateway.once('exit', (code) => reject(new Error(`gateway exited with ${code}: ${output}`)));
   });
 }
 
@@ -53,15 +69,20 @@
   const gateways = hosts.map((host) =>
     startGateway(gatewayFlags(host, platformUrl, { 'notice-period': 200, 'peer-secret': SECRET })),
   );
+  const outputs = gateways.map(collectOutput);
   try {
-    await Promise.all(gateways.map(started));
+    await Promise.all(gateways.map((gateway, index) => started(gateway, outputs[index]!)));
     for (const host of hosts) {
       const answer = await request(`http://127.0.0.1:${host.callerPort}/round-sheet/pits/7?a=1`, {
         method: 'POST',
         body: 'close-out',
       });
-      expect(answer.statusCode).toBe(200);
-      expect(await answer.body.json()).toEqual({ target: 't-1', path: '/pits/7?a=1', bytes: 9 });
+      // With the body and the logs, a failure names its cause.
+      expect({
+        status: answer.statusCode,
+        body: await answer.body.json(),
+        ...(answer.statusCode === 200 ? {} : { logs: outputs }),
+      }).toEqual({ status: 200, body: { target: 't-1', path: '/pits/7?a=1', bytes: 9 } });
     }
     expect(target.runs).toHaveLength(2);
     const unknown = await request(`http://127.0.0.1:${hosts[0]!.callerPort}/nothing`);
