Send reports and counts of calls packed; load less at the start; keep connections

Cause: a host's datagrams were JSON text, 5/6 of it ids and brackets; the daemon loaded all of zod, HTTP/2 and a StatsD client that it never uses; a new connection counted as less than the bytes that its owners price alike; zones of tens of hosts told each call to each neighbour.

--- a/measure/measureOptions.ts
+++ b/measure/measureOptions.ts
@@ -1,6 +1,6 @@
 import { parseArgs } from 'node:util';
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 const measureOptionsSchema = z.object({
   json: z.boolean().default(false),
--- a/scripts/bundlePlatform.js
+++ b/scripts/bundlePlatform.js
@@ -18,8 +18,10 @@
   target: 'node20',
   // ts-results' other form hides its imports from the bundler.
   mainFields: ['module', 'main'],
-  // Optional parts of bunyan that this daemon never uses: tracing, rotated files, source positions.
+  // Optional parts that this daemon never uses: HTTP/2 of undici, which takes a third of the time to
+  // load what Node.js brings; tracing, rotated files and source positions of bunyan.
   alias: {
+    'node:http2': join(__dirname, 'absentModule.js'),
     'dtrace-provider': join(__dirname, 'absentModule.js'),
     mv: join(__dirname, 'absentModule.js'),
     'source-map-support': join(__dirname, 'absentModule.js'),
--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -15,6 +15,8 @@
   FlightOutbox,
   FullSlowdowns,
   FlightTable,
+  identityKey,
+  isLargeZone,
   KnowledgeTable,
   ReportOutbox,
   type TargetReport,
@@ -99,8 +101,11 @@
     const { protocol } = adapter;
     const catalog = () => this.ledger.catalog();
     this.flights = new FlightTable(clock);
-    this.knowledge = new KnowledgeTable(clock, this.flights, (...change) =>
-      this.flightOutbox.note(...change),
+    this.knowledge = new KnowledgeTable(
+      clock,
+      this.flights,
+      (...change) => this.flightOutbox.note(...change),
+      () => !isLargeZone(this.exchange.membership.neighbours().length),
     );
     this.beliefs = new BeliefLog(clock, this.knowledge, events);
     this.crashTable = new CrashTable(clock);
@@ -315,6 +320,7 @@
   private makeExchange(link: Awaited<ReturnType<typeof openDatagramLink>>): Exchange {
     const { clock, random, events, settings } = this.parts;
     const ip = ipOf(settings['control-address']);
+    const ownKey = identityKey(settings['host-id']);
     const self: HostAddress = { id: settings['host-id'], zone: settings.zone, ip };
     return new Exchange({
       ...{ clock, random, link, events, self, ledger: this.ledger, zones: settings.zones },
@@ -327,7 +333,7 @@
         for (const report of reports) this.take(report);
       },
       onFlights: (counts, passOn) => {
-        const others = counts.filter(({ host }) => host !== self.id);
+        const others = counts.filter(({ host }) => host !== ownKey);
         for (const count of others) this.flights.take(count);
         if (passOn) this.flightOutbox.passOn(others);
       },
--- a/src/catalog/buildCatalog.ts
+++ b/src/catalog/buildCatalog.ts
@@ -19,6 +19,17 @@
   return groups;
 }
 
+function shortestObjectives(configuration: Configuration | null): ReadonlyMap<string, number> {
+  const objectives = new Map<string, number>();
+  for (const { parts, latencyObjectiveMs } of configuration?.routes ?? []) {
+    for (const { service } of parts) {
+      const shortest = objectives.get(service) ?? Infinity;
+      objectives.set(service, Math.min(shortest, latencyObjectiveMs));
+    }
+  }
+  return objectives;
+}
+
 /** Builds the immutable catalog from the facts that hold at revision `asOf`. */
 export function buildCatalog(
   asOf: number,
@@ -48,6 +59,7 @@
       : new Map((configuration?.services ?? []).map((service) => [service.name, service])),
     targets,
     targetsByService: groupByService(targets),
+    objectives: unchanged ? previous.objectives : shortestObjectives(configuration),
     zonesOut,
   });
 }
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -14,6 +14,8 @@
   readonly targets: ReadonlyMap<string, Target>;
   /** Targets by service, in order of their ids. */
   readonly targetsByService: ReadonlyMap<string, readonly Target[]>;
+  /** Shortest latency objective of the routes to each service, in milliseconds. */
+  readonly objectives: ReadonlyMap<string, number>;
   /** Zones whose targets get no new calls. */
   readonly zonesOut: ReadonlySet<string>;
 }
--- a/src/control/parseAnswer.ts
+++ b/src/control/parseAnswer.ts
@@ -1,4 +1,4 @@
-import { type z } from 'zod';
+import type * as z from 'zod';
 
 import { problemBodySchema, type ProblemBody } from '../operators';
 
--- a/src/delivery/probeTask.ts
+++ b/src/delivery/probeTask.ts
@@ -6,10 +6,19 @@
 import { TargetProbe } from './targetProbe';
 
 // Finer than the 500 ms in which the pace of a target changes; one host of a zone probes a target,
-// so that the sum over all hosts stays below the operators' bound.
-const PROBE_INTERVAL_MS = 45;
-// An answer that told the load so recently makes a probe needless.
-const FRESH_MS = 30;
+// so that the sum over all hosts stays below the operators' bound. Calls with long objectives are
+// placed well by older knowledge.
+const PROBE_SHARE_OF_OBJECTIVE = 0.18;
+const SHORTEST_INTERVAL_MS = 45;
+const LONGEST_INTERVAL_MS = 90;
+// An answer that told the load within this share of the interval makes a probe needless.
+const FRESH_SHARE = 2 / 3;
+
+/** Time between the probes of a target whose calls have this latency objective, in milliseconds. */
+export function probeInterval(objectiveMs: number): number {
+  const wished = objectiveMs * PROBE_SHARE_OF_OBJECTIVE;
+  return Math.min(LONGEST_INTERVAL_MS, Math.max(SHORTEST_INTERVAL_MS, wished));
+}
 
 /** What a task that probes one target reads of its host. */
 export interface ProbeParts {
@@ -64,13 +73,18 @@
   private async run(): Promise<void> {
     const { clock } = this.parts;
     while (this.isProber) {
-      if (!this.isFresh()) await this.check();
-      await waitUntil(clock, clock.now() + PROBE_INTERVAL_MS);
+      const interval = probeInterval(this.objective());
+      if (!this.isFresh(interval * FRESH_SHARE)) await this.check();
+      await waitUntil(clock, clock.now() + interval);
     }
   }
 
-  private isFresh(): boolean {
+  private objective(): number {
+    return this.parts.catalog().objectives.get(this.target.service) ?? 0;
+  }
+
+  private isFresh(freshMs: number): boolean {
     const held = this.parts.knowledge.get(this.target.id);
-    return held !== undefined && this.parts.clock.now() - held.paceAt < FRESH_MS;
+    return held !== undefined && this.parts.clock.now() - held.paceAt < freshMs;
   }
 }
--- a/src/exchange/datagramCodec.ts
+++ b/src/exchange/datagramCodec.ts
@@ -1,53 +1,27 @@
-import { type FlightCounts, type TargetReport } from '../knowledge';
-
-import {
-  type Changes,
-  type CrashNotice,
-  type Flights,
-  type Heartbeat,
-  type Message,
-  type Reports,
-} from './message';
+import { type Changes, type CrashNotice, type Heartbeat, type Message } from './message';
+import { decodePacked, encodePacked, PACKED_CODECS, type PackedMessage } from './packedCodec';
 
 /** Hosts of another protocol version are not understood, and their datagrams are dropped. */
-export const EXCHANGE_VERSION = 1;
+export const EXCHANGE_VERSION = 2;
 
 /** Largest message that fits into one datagram without fragments. */
 export const DATAGRAM_BYTES = 1350;
 
 type Fields = readonly unknown[];
 
+// The first byte of a message as JSON text is a bracket; other first bytes are tags of packed messages.
+const JSON_START = 0x5b;
+
 interface Codec<Kind extends Message> {
   encode(message: Kind): Fields;
   decode(fields: Fields): Kind;
 }
 
-type Codecs = { readonly [Name in Message['kind']]: Codec<Extract<Message, { kind: Name }>> };
-
-function reportFields(report: TargetReport): Fields {
-  const { target, age, running, waiting, pace, sight, coldLeft } = report;
-  return [target, age, running, waiting, pace, sight, coldLeft];
-}
-
-function reportOf(fields: Fields): TargetReport {
-  const [target, age, running, waiting, pace, sight, coldLeft] = fields;
-  return { target, age, running, waiting, pace, sight, coldLeft } as TargetReport;
-}
-
-function countsFields({ host, sequence, calls }: FlightCounts): Fields {
-  return [host, sequence, [...calls].flat()];
-}
+type TextKind = Exclude<Message['kind'], keyof typeof PACKED_CODECS>;
 
-function countsOf([host, sequence, flat]: Fields): FlightCounts {
-  const calls = new Map<string, number>();
-  const fields = flat as Fields;
-  for (let index = 0; index + 1 < fields.length; index += 2) {
-    calls.set(fields[index] as string, fields[index + 1] as number);
-  }
-  return { host: host as string, sequence: sequence as number, calls };
-}
+type Codecs = { readonly [Name in TextKind]: Codec<Extract<Message, { kind: Name }>> };
 
-// Fields without names: heartbeats and reports are nearly all that hosts send to each other.
+// Fields without names keep heartbeats small.
 const CODECS: Codecs = {
   heartbeat: {
     encode: (beat) => [
@@ -71,24 +45,6 @@
       } as Heartbeat;
     },
   },
-  reports: {
-    encode: (message) => [message.passOn ? 1 : 0, message.reports.map(reportFields)],
-    decode: ([passOn, reports]) =>
-      ({
-        kind: 'reports',
-        passOn: passOn === 1,
-        reports: (reports as Fields[]).map(reportOf),
-      }) satisfies Reports,
-  },
-  flights: {
-    encode: (message) => [message.passOn ? 1 : 0, message.counts.map(countsFields)],
-    decode: ([passOn, counts]) =>
-      ({
-        kind: 'flights',
-        passOn: passOn === 1,
-        counts: (counts as Fields[]).map(countsOf),
-      }) satisfies Flights,
-  },
   changes: {
     encode: (message) => [message.passOn ? 1 : 0, message.text],
     decode: ([passOn, text]) =>
@@ -110,8 +66,13 @@
   },
 };
 
+function isPacked(message: Message): message is PackedMessage {
+  return message.kind in PACKED_CODECS;
+}
+
 /** Bytes of a message. */
 export function encodeMessage(message: Message): Buffer {
+  if (isPacked(message)) return encodePacked(message, EXCHANGE_VERSION);
   const codec = CODECS[message.kind] as Codec<Message>;
   return Buffer.from(
     JSON.stringify([EXCHANGE_VERSION, message.kind, codec.encode(message)]),
@@ -119,15 +80,15 @@
   );
 }
 
+function decodeText(bytes: Buffer): Message | null {
+  const [version, kind, fields] = JSON.parse(bytes.toString('utf8')) as [unknown, TextKind, Fields];
+  return version === EXCHANGE_VERSION ? CODECS[kind].decode(fields) : null;
+}
+
 /** The message of a datagram; null when it is no message of this protocol version. */
 export function decodeMessage(bytes: Buffer): Message | null {
   try {
-    const [version, kind, fields] = JSON.parse(bytes.toString('utf8')) as [
-      unknown,
-      Message['kind'],
-      Fields,
-    ];
-    return version === EXCHANGE_VERSION ? CODECS[kind].decode(fields) : null;
+    return bytes[0] === JSON_START ? decodeText(bytes) : decodePacked(bytes, EXCHANGE_VERSION);
   } catch {
     // Counted by the caller as an unreadable datagram.
     return null;
--- a/src/exchange/datagramLink.ts
+++ b/src/exchange/datagramLink.ts
@@ -7,13 +7,17 @@
   close(): Promise<void>;
 }
 
+type LookupDone = (error: null, address: string, family: number) => void;
+
 /** Opens a UDP socket at `ip` and `port`; other hosts use the same port. */
 export function openDatagramLink(
   ip: string,
   port: number,
   onError: (error: Error) => void,
 ): Promise<DatagramLink> {
-  const socket: Socket = createSocket('udp4');
+  // Hosts are known by their addresses; the usual look-up of names would defer each datagram by a turn.
+  const lookup = (host: string, _options: unknown, done: LookupDone) => done(null, host, 4);
+  const socket: Socket = createSocket({ type: 'udp4', lookup });
   return new Promise((resolve, reject) => {
     socket.once('error', reject);
     socket.bind(port, ip, () => {
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -1,5 +1,3 @@
-import { match } from 'ts-pattern';
-
 import { type CatalogChanges, decodeChanges, encodeChanges, type Ledger } from '../catalog';
 import { type FlightCounts, type TargetReport } from '../knowledge';
 import { type EventSink } from '../logging';
@@ -57,6 +55,13 @@
 // Zones larger than this speak to each other less often.
 const MANY_NEIGHBOURS = 16;
 
+type MessageHandlers = {
+  readonly [Kind in Message['kind']]: (
+    message: Extract<Message, { kind: Kind }>,
+    fromIp: string,
+  ) => void;
+};
+
 function addressOf(host: HostAddress): readonly [string, string, string] {
   return [host.id, host.zone, host.ip];
 }
@@ -69,6 +74,24 @@
 
   private isPulling = false;
 
+  // A table, since some hundred datagrams arrive each second.
+  private readonly handlers: MessageHandlers = {
+    heartbeat: (heartbeat, fromIp) => this.hear(heartbeat, fromIp),
+    reports: (message) => {
+      this.parts.onReports(message.reports);
+      if (message.passOn) this.passOn({ ...message, passOn: false });
+    },
+    flights: ({ counts, passOn }) => this.parts.onFlights(counts, passOn === true),
+    changes: (message) => {
+      this.parts.ledger.apply(decodeChanges(message.text, this.parts.clock.now()));
+      if (message.passOn) this.passOn({ ...message, passOn: false });
+    },
+    crash: (notice) => {
+      this.parts.onCrash(notice);
+      if (notice.passOn) this.passOn({ ...notice, passOn: false });
+    },
+  };
+
   constructor(private readonly parts: ExchangeParts) {
     this.membership = new Membership(parts.clock, parts.self);
   }
@@ -156,24 +179,8 @@
       this.parts.events.emit(EXCHANGE_EVENTS.unreadable, { from: fromIp, bytes: bytes.length });
       return;
     }
-    match(message)
-      .with({ kind: 'heartbeat' }, (heartbeat) => this.hear(heartbeat, fromIp))
-      .with({ kind: 'reports' }, (reports) => {
-        this.parts.onReports(reports.reports);
-        if (reports.passOn) this.passOn({ ...reports, passOn: false });
-      })
-      .with({ kind: 'flights' }, ({ counts, passOn }) =>
-        this.parts.onFlights(counts, passOn === true),
-      )
-      .with({ kind: 'changes' }, (changes) => {
-        this.parts.ledger.apply(decodeChanges(changes.text, this.parts.clock.now()));
-        if (changes.passOn) this.passOn({ ...changes, passOn: false });
-      })
-      .with({ kind: 'crash' }, (notice) => {
-        this.parts.onCrash(notice);
-        if (notice.passOn) this.passOn({ ...notice, passOn: false });
-      })
-      .exhaustive();
+    const handle = this.handlers[message.kind] as (received: Message, fromIp: string) => void;
+    handle(message, fromIp);
   }
 
   private passOn(message: Message): void {
--- a/src/fleet/sheetEncoding.ts
+++ b/src/fleet/sheetEncoding.ts
@@ -2,7 +2,7 @@
 import { gunzip, gzip } from 'node:zlib';
 
 import { Err, Ok, type Result } from 'ts-results';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import {
   applyDelta,
--- a/src/knowledge/flightListener.ts
+++ b/src/knowledge/flightListener.ts
@@ -3,7 +3,7 @@
  * `isUrgent` when a call has just taken one of the last.
  */
 export type FlightListener = (
-  target: string,
+  targetKey: number,
   calls: number,
   room: number,
   isUrgent: boolean,
--- a/src/knowledge/flightOutbox.ts
+++ b/src/knowledge/flightOutbox.ts
@@ -1,6 +1,8 @@
 import { type Clock, EarliestTimer } from '../runtime';
 
 import { type FlightCounts } from './flightCounts';
+import { identityKey } from './identityKey';
+import { isLargeZone } from './largeZone';
 
 // Hosts that choose within these times of each other do not see each other's calls. A call that leaves
 // few slots free is told at once, since the next one there would wait; others, and ends of calls, are
@@ -17,9 +19,6 @@
 // Each neighbour beyond this stretches the time for the zone, so that a host's datagrams do not grow
 // with its zone.
 const REFERENCE_NEIGHBOURS = 6;
-// Larger zones keep their counts to themselves: the host that passes on those of another zone would send
-// 1.3 MB/s at 113 hosts, more than the 7 Mbit/s link of a small one carries.
-const MOST_TELLING_NEIGHBOURS = 8;
 // Lost datagrams are made good by the next change or by this repetition.
 const REPEAT_MS = 500;
 
@@ -31,25 +30,28 @@
 
 /** Batches changes of this host's calls in flight, and what other zones say of theirs. */
 export class FlightOutbox {
-  private readonly own = new Map<string, { calls: number; toldAt: number }>();
+  private readonly own = new Map<number, { calls: number; toldAt: number }>();
 
-  private readonly near = new Set<string>();
+  private readonly near = new Set<number>();
 
-  private readonly far = new Set<string>();
+  private readonly far = new Set<number>();
 
-  private readonly passed = new Map<string, FlightCounts>();
+  private readonly passed = new Map<number, FlightCounts>();
 
   private readonly nearTimer: EarliestTimer;
 
   private readonly farTimer: EarliestTimer;
 
+  private readonly hostKey: number;
+
   private sequence = 0;
 
   constructor(
     private readonly clock: Clock,
-    private readonly hostId: string,
+    hostId: string,
     private readonly sink: FlightSink,
   ) {
+    this.hostKey = identityKey(hostId);
     this.nearTimer = new EarliestTimer(clock, () => this.tellZone());
     this.farTimer = new EarliestTimer(clock, () =>
       this.sink.spreadFlights([this.takeOwn(this.far)], true),
@@ -57,10 +59,11 @@
   }
 
   /**
-   * Queues the number of calls that this host now has in flight at a target, which has `room` slots
+   * Queues the number of calls that this host now has in flight at the target with this key, which has `room` slots
    * left; `isUrgent` when a call has just taken one of the last.
    */
-  note(target: string, calls: number, room: number, isUrgent: boolean): void {
+  note(target: number, calls: number, room: number, isUrgent: boolean): void {
+    if (this.isLargeZone()) return;
     this.own.set(target, { calls, toldAt: this.clock.now() });
     this.near.add(target);
     this.far.add(target);
@@ -93,12 +96,11 @@
     const nearMs = Math.min(NEAR_BATCH_MS_A_SLOT * slots, MOST_NEAR_BATCH_MS);
     const farMs = Math.min(FAR_BATCH_MS_A_SLOT * slots, MOST_FAR_BATCH_MS);
     this.nearTimer.setBy(now + (isUrgent ? URGENT_NEAR_MS : nearMs) * this.stretch());
-    if (this.isLargeZone()) this.far.clear();
-    else this.farTimer.setBy(now + (isUrgent ? URGENT_FAR_MS : farMs));
+    this.farTimer.setBy(now + (isUrgent ? URGENT_FAR_MS : farMs));
   }
 
   private isLargeZone(): boolean {
-    return this.sink.neighbourCount() > MOST_TELLING_NEIGHBOURS;
+    return isLargeZone(this.sink.neighbourCount());
   }
 
   private stretch(): number {
@@ -112,10 +114,10 @@
     this.sink.spreadFlights(counts, false);
   }
 
-  private takeOwn(targets: Set<string>): FlightCounts {
+  private takeOwn(targets: Set<number>): FlightCounts {
     this.sequence += 1;
     const calls = new Map([...targets].map((target) => [target, this.own.get(target)?.calls ?? 0]));
     targets.clear();
-    return { host: this.hostId, sequence: this.sequence, calls };
+    return { host: this.hostKey, sequence: this.sequence, calls };
   }
 }
--- a/src/knowledge/flightTable.ts
+++ b/src/knowledge/flightTable.ts
@@ -14,9 +14,9 @@
 
 /** Calls that the other hosts have in flight at each target. */
 export class FlightTable {
-  private readonly counts = new Map<string, Map<string, HeldCount>>();
+  private readonly counts = new Map<number, Map<number, HeldCount>>();
 
-  private readonly totals = new Map<string, number>();
+  private readonly totals = new Map<number, number>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -32,9 +32,9 @@
     }
   }
 
-  /** Calls of all other hosts at a target. */
-  at(target: string): number {
-    return this.totals.get(target) ?? 0;
+  /** Calls of all other hosts at the target with this key. */
+  at(targetKey: number): number {
+    return this.totals.get(targetKey) ?? 0;
   }
 
   /** Forgets counts that were not repeated in time; called regularly. */
@@ -53,7 +53,7 @@
     }
   }
 
-  private countsAt(target: string): Map<string, HeldCount> {
+  private countsAt(target: number): Map<number, HeldCount> {
     let byHost = this.counts.get(target);
     if (byHost === undefined) {
       byHost = new Map();
@@ -62,7 +62,7 @@
     return byHost;
   }
 
-  private addTotal(target: string, change: number): void {
+  private addTotal(target: number, change: number): void {
     this.totals.set(target, (this.totals.get(target) ?? 0) + change);
   }
 }
--- a/src/knowledge/knowledgeTable.ts
+++ b/src/knowledge/knowledgeTable.ts
@@ -3,6 +3,7 @@
 
 import { type FlightListener } from './flightListener';
 import { type FlightTable } from './flightTable';
+import { identityKey } from './identityKey';
 import { type TargetKnowledge } from './targetKnowledge';
 import { type TargetReport } from './targetReport';
 
@@ -15,6 +16,9 @@
 const FAILURE_HALF_LIFE_MS = 2000;
 // A report of load this old cannot be compared with the calls that are in flight now.
 const COMPARABLE_MS = 20;
+// Where hosts do not tell their calls, reports are all that shows the load of others; they travel in
+// batches of up to 200 ms.
+const UNTOLD_COMPARABLE_MS = 250;
 // Calls that nobody told of, such as those of a host that is cut off, are assumed to run so long
 // unless a later report shows them again.
 const UNTOLD_LIFE_MS = 250;
@@ -29,6 +33,8 @@
     private readonly clock: Clock,
     private readonly flights: FlightTable,
     private readonly onFlight: FlightListener,
+    /** Whether the hosts of this zone tell each other their calls. */
+    private readonly areCallsTold: () => boolean = () => true,
   ) {}
 
   /** What is known of a target; undefined for one that was never announced. */
@@ -54,8 +60,9 @@
     const held = this.known.get(report.target);
     if (held === undefined) return;
     const seenAt = this.clock.now() - report.age;
-    if (report.running !== null && report.age < COMPARABLE_MS && seenAt > held.loadAt) {
-      const told = held.ownInFlight + this.flights.at(held.id);
+    const comparableMs = this.areCallsTold() ? COMPARABLE_MS : UNTOLD_COMPARABLE_MS;
+    if (report.running !== null && report.age < comparableMs && seenAt > held.loadAt) {
+      const told = held.ownInFlight + this.flights.at(held.key);
       held.untold = Math.max(0, report.running + (report.waiting ?? 0) - told);
       held.loadAt = seenAt;
     }
@@ -74,7 +81,7 @@
     if (held === undefined) return;
     held.ownInFlight += 1;
     const room = held.slots - this.load(held);
-    this.onFlight(id, held.ownInFlight, room, room <= FEW_SLOTS);
+    this.onFlight(held.key, held.ownInFlight, room, room <= FEW_SLOTS);
   }
 
   /** Notes that a call of this host has ended at the target. */
@@ -82,13 +89,14 @@
     const held = this.known.get(id);
     if (held === undefined) return;
     held.ownInFlight = Math.max(0, held.ownInFlight - 1);
-    this.onFlight(id, held.ownInFlight, held.slots - this.load(held), false);
+    this.onFlight(held.key, held.ownInFlight, held.slots - this.load(held), false);
   }
 
   /** Calls that run or wait at a target at this moment, of all hosts. */
   load(held: TargetKnowledge): number {
-    const untold = this.clock.now() - held.loadAt < UNTOLD_LIFE_MS ? held.untold : 0;
-    return held.ownInFlight + this.flights.at(held.id) + untold;
+    const life = this.areCallsTold() ? UNTOLD_LIFE_MS : UNTOLD_LIFE_MS + UNTOLD_COMPARABLE_MS;
+    const untold = this.clock.now() - held.loadAt < life ? held.untold : 0;
+    return held.ownInFlight + this.flights.at(held.key) + untold;
   }
 
   /** Share of recent calls that failed, with older failures forgiven. */
@@ -133,6 +141,7 @@
     const now = this.clock.now();
     this.known.set(target.id, {
       id: target.id,
+      key: previous?.key ?? identityKey(target.id),
       service: target.service,
       slots: target.slots,
       startedAt: target.startedAt,
--- a/src/knowledge/reportOutbox.ts
+++ b/src/knowledge/reportOutbox.ts
@@ -2,10 +2,12 @@
 
 import { type TargetReport } from './targetReport';
 
-// A change reaches the zone within this time; each neighbour beyond REFERENCE_NEIGHBOURS stretches
-// it, so that a host's datagrams do not grow with its zone.
+// A change reaches the zone within this time; neighbours beyond REFERENCE_NEIGHBOURS stretch it by more
+// than their number, so that a host's datagrams fall while it carries a smaller share of the calls.
 const ZONE_BATCH_MS = 15;
 const REFERENCE_NEIGHBOURS = 6;
+const STRETCH_EXPONENT = 1.25;
+const LONGEST_ZONE_BATCH_MS = 200;
 const FAR_BATCH_MS = 30;
 // A change of pace by less than this factor is not worth bytes between zones.
 const FAR_PACE_FACTOR = 1.6;
@@ -65,8 +67,7 @@
     const waiting = { report, seenAt: now - report.age };
     if (!this.isNearNews(report, now)) return;
     this.near.set(keyOf(report), waiting);
-    const stretch = Math.max(1, this.sink.neighbourCount() / REFERENCE_NEIGHBOURS);
-    this.nearTimer ??= this.clock.setTimer(now + ZONE_BATCH_MS * stretch, () => {
+    this.nearTimer ??= this.clock.setTimer(now + this.zoneBatchMs(), () => {
       this.nearTimer = null;
       this.flush(this.near, false);
     });
@@ -78,6 +79,11 @@
     });
   }
 
+  private zoneBatchMs(): number {
+    const crowd = Math.max(1, this.sink.neighbourCount() / REFERENCE_NEIGHBOURS);
+    return Math.min(LONGEST_ZONE_BATCH_MS, ZONE_BATCH_MS * crowd ** STRETCH_EXPONENT);
+  }
+
   private isNearNews(report: TargetReport, now: number): boolean {
     if (report.sight !== 'answer' && report.sight !== 'probe') return true;
     const last = this.told.get(report.target);
--- a/src/knowledge/targetKnowledge.ts
+++ b/src/knowledge/targetKnowledge.ts
@@ -1,6 +1,8 @@
 /** What this host knows of one target; owned and changed by `KnowledgeTable` only. */
 export interface TargetKnowledge {
   readonly id: string;
+  /** Stands for the id in counts of calls in flight. */
+  readonly key: number;
   readonly service: string;
   slots: number;
   /** Unix time of the start that the knowledge is about; null when it was not announced. */
--- a/src/operators/orderInput.ts
+++ b/src/operators/orderInput.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Schema of an order id, which makes a repeat recognisable. */
 export const orderIdSchema = z
--- a/src/operators/orderRoutes.ts
+++ b/src/operators/orderRoutes.ts
@@ -1,6 +1,6 @@
 import { type Context, Hono } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
-import { type z } from 'zod';
+import type * as z from 'zod';
 
 import { type Order } from '../fleet';
 import { LARGEST_SHEET_BYTES, parseSheet } from '../sheet';
--- a/src/operators/problemBody.ts
+++ b/src/operators/problemBody.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const sheetErrorSchema = z
   .object({ row: z.number(), section: z.string(), field: z.string(), message: z.string() })
--- a/src/operators/targetStatus.ts
+++ b/src/operators/targetStatus.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Schema of what a gateway tells about a target that it owns. */
 export const targetStatusSchema = z
--- a/src/placement/chooseTarget.ts
+++ b/src/placement/chooseTarget.ts
@@ -9,8 +9,9 @@
 const COST_IN_OBJECTIVES = {
   // Bytes between zones cost their users money, about a tenth of what a call is worth to them.
   far: 0.12,
-  // A new connection takes one round trip more, and work at the target.
-  unconnected: 0.04,
+  // A new connection takes one round trip more and work at the target, which its operators price like
+  // the bytes of a call between zones.
+  unconnected: 0.1,
   // Full failure share; a target that fails every call is used when nothing else is left.
   failure: 4,
   // A probe alone may be wrong in both directions: others are preferred, but it excludes nothing.
--- a/src/probing/httpProbeTransport.ts
+++ b/src/probing/httpProbeTransport.ts
@@ -1,5 +1,5 @@
 import { request, type Dispatcher } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { type ProbeAnswer } from '../routing';
 import { type Target } from '../sheet';
--- a/src/published/readHostList.ts
+++ b/src/published/readHostList.ts
@@ -1,6 +1,6 @@
 import { Err, Ok, type Result } from 'ts-results';
 import { request, type Dispatcher } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { type PlatformError } from './platformError';
 
--- a/src/settings/controlSettings.ts
+++ b/src/settings/controlSettings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { type SettingTable, type SettingValues } from './settingDefinition';
 
--- a/src/settings/settingDefinition.ts
+++ b/src/settings/settingDefinition.ts
@@ -1,4 +1,4 @@
-import { type z } from 'zod';
+import type * as z from 'zod';
 
 /** One setting: a flag and an environment variable of the same name. */
 export interface SettingDefinition {
--- a/src/sheet/schema.ts
+++ b/src/sheet/schema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 // Limits that keep a mistyped figure from taking effect; all are far above the target size.
 const LARGEST_SLOTS = 10_000;
--- a/standins/target/controlApp.ts
+++ b/standins/target/controlApp.ts
@@ -1,5 +1,5 @@
 import { Hono } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { targetSettingsSchema } from './targetSettings';
 import { type TargetStandin } from './targetStandin';
--- a/standins/target/targetSettings.ts
+++ b/standins/target/targetSettings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const milliseconds = z.number().min(0);
 
--- a/test/exchange/exchange.test.ts
+++ b/test/exchange/exchange.test.ts
@@ -1,5 +1,5 @@
 import { type CatalogRecord } from '../../src/catalog';
-import { proberOf } from '../../src/knowledge';
+import { identityKey, proberOf } from '../../src/knowledge';
 import { ManualClock, SeededRandom } from '../../src/runtime';
 
 import { SimulatedHosts } from './simulatedHosts';
@@ -149,7 +149,7 @@
     const network = build(17, 6);
     network.loss = 0.1;
     await network.pass(2500);
-    for (const host of network.up()) host.flightOutbox.note('t', 1, 0, true);
+    for (const host of network.up()) host.flightOutbox.note(identityKey('t'), 1, 0, true);
     await network.pass(1500);
     for (let turn = 0; turn < 6; turn += 1) {
       for (const host of network.up()) {
@@ -158,7 +158,7 @@
       }
       await network.pass(100);
     }
-    const seen = network.up().map((host) => host.flights.at('t'));
+    const seen = network.up().map((host) => host.flights.at(identityKey('t')));
     const missing = seen.reduce((sum, count) => sum + (16 - count), 0);
     // One repetition a half second: at most what two datagrams in a row lose, on both ways.
     expect(missing / (17 * 16)).toBeLessThan(0.1);
@@ -178,7 +178,7 @@
       const { clock } = network;
       for (const host of network.up()) {
         const call = () => {
-          const target = `i-${1e9 + random.integer(16)}`;
+          const target = identityKey(`i-${1e9 + random.integer(16)}`);
           host.flightOutbox.note(target, 1, 4, false);
           clock.setTimer(clock.now() + 90, () => host.flightOutbox.note(target, 0, 5, false));
           clock.setTimer(clock.now() + callEvery * (0.5 + random.next()), call);
--- a/test/knowledge/flights.test.ts
+++ b/test/knowledge/flights.test.ts
@@ -1,8 +1,9 @@
-import { type FlightCounts, FlightOutbox, FlightTable } from '../../src/knowledge';
+import { type FlightCounts, FlightOutbox, FlightTable, identityKey } from '../../src/knowledge';
 import { ManualClock } from '../../src/runtime';
 
 function counts(host: string, sequence: number, calls: Record<string, number>): FlightCounts {
-  return { host, sequence, calls: new Map(Object.entries(calls)) };
+  const entries = Object.entries(calls).map(([id, count]) => [identityKey(id), count] as const);
+  return { host: identityKey(host), sequence, calls: new Map(entries) };
 }
 
 interface Sent {
@@ -26,7 +27,11 @@
     table.take(counts('host-1', 1, { t1: 2 }));
     table.take(counts('host-2', 1, { t1: 1, t2: 1 }));
     table.take(counts('host-1', 2, { t1: 0 }));
-    expect([table.at('t1'), table.at('t2'), table.at('t3')]).toEqual([1, 1, 0]);
+    expect([
+      table.at(identityKey('t1')),
+      table.at(identityKey('t2')),
+      table.at(identityKey('t3')),
+    ]).toEqual([1, 1, 0]);
   });
 
   // Guards against datagrams that overtake each other.
@@ -34,7 +39,7 @@
     const table = new FlightTable(new ManualClock());
     table.take(counts('host-1', 5, { t1: 0 }));
     table.take(counts('host-1', 4, { t1: 3 }));
-    expect(table.at('t1')).toBe(0);
+    expect(table.at(identityKey('t1'))).toBe(0);
   });
 
   // Guards against targets that look full for ever after a host died with calls in flight, and
@@ -45,9 +50,9 @@
     table.take(counts('host-1', 900, { t1: 3 }));
     clock.advanceTo(1300);
     table.sweep();
-    expect(table.at('t1')).toBe(0);
+    expect(table.at(identityKey('t1'))).toBe(0);
     table.take(counts('host-1', 1, { t1: 1 }));
-    expect(table.at('t1')).toBe(1);
+    expect(table.at(identityKey('t1'))).toBe(1);
   });
 });
 
@@ -56,8 +61,8 @@
   it('tells a call that leaves few slots within 1 ms, and within 2 ms to other zones', () => {
     const clock = new ManualClock();
     const { box, sent } = outbox(clock);
-    box.note('t1', 1, 3, false);
-    box.note('t1', 2, 0, true);
+    box.note(identityKey('t1'), 1, 3, false);
+    box.note(identityKey('t1'), 2, 0, true);
     clock.advanceTo(1);
     expect(sent).toEqual([{ counts: [counts('host-1', 1, { t1: 2 })], isFar: false }]);
     clock.advanceTo(2);
@@ -68,14 +73,17 @@
   it('repeats calls that go on, and nothing else', () => {
     const clock = new ManualClock();
     const { box, sent } = outbox(clock);
-    box.note('t1', 1, 3, false);
-    box.note('t2', 0, 3, false);
+    box.note(identityKey('t1'), 1, 3, false);
+    box.note(identityKey('t2'), 0, 3, false);
     clock.advanceTo(40);
     sent.length = 0;
     clock.advanceTo(560);
     box.turn();
     clock.advanceTo(640);
-    expect(sent.map(({ counts: [told] }) => [...told!.calls])).toEqual([[['t1', 1]], [['t1', 1]]]);
+    expect(sent.map(({ counts: [told] }) => [...told!.calls])).toEqual([
+      [[identityKey('t1'), 1]],
+      [[identityKey('t1'), 1]],
+    ]);
   });
 
   // Guards against a zone that never hears of the calls of another one, and against an echo.
@@ -94,7 +102,7 @@
     const { box, sent } = outbox(clock, 36);
     for (let at = 0; at < 240; at += 4) {
       clock.advanceTo(at);
-      box.note('t1', at, 3, false);
+      box.note(identityKey('t1'), at, 3, false);
     }
     clock.advanceTo(300);
     expect(sent.filter(({ isFar }) => !isFar).length).toBeLessThanOrEqual(11);
