--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -2,7 +2,7 @@
 
 import { type Catalog } from '../catalog';
 import { type EventSink } from '../logging';
-import { type Clock, type Random } from '../runtime';
+import { type Clock, type Random, type Timer } from '../runtime';
 import { retryAfter } from '../placement';
 
 import { type CallEnd } from './callEnd';
@@ -21,6 +21,10 @@
 // Time that a refused caller is assumed to have left when it does not say.
 const UNKNOWN_LEFT_MS = 1000;
 
+// A host that starts reads its configuration about 150 ms after it listens; a caller that is refused
+// meanwhile would come back later than that and would have used up one of its attempts.
+const CONFIGURATION_WAIT_MS = 250;
+
 /** Is told of the end of each call. */
 export interface CallObserver {
   onEnd(call: IncomingCall | null, end: CallEnd, elapsedMs: number): void;
@@ -48,6 +52,9 @@
 
   private idle: (() => void) | null = null;
 
+  /** Calls that arrived before the first configuration. */
+  private readonly unconfigured = new Set<() => void>();
+
   constructor(private readonly parts: CallServerParts) {
     this.weights = new WeightedChoice(parts.random);
     this.server = createServer({ maxHeaderSize: LARGEST_HEADER_BYTES, noDelay: true });
@@ -64,6 +71,7 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.weights.clear();
+    for (const resume of this.unconfigured) resume();
   }
 
   /** Number of calls that have no final answer yet. */
@@ -107,6 +115,7 @@
     id: string,
     arrivedAt: number,
   ): Promise<{ call: IncomingCall | null; end: CallEnd }> {
+    await this.untilConfigured(arrivedAt + CONFIGURATION_WAIT_MS);
     const start = this.begin(request, id, arrivedAt);
     if ('kind' in start) return { call: null, end: { kind: 'own', own: start } };
     const call = await readCall(request, start, this.parts.protocol);
@@ -121,6 +130,21 @@
     return { call, end: await run.run() };
   }
 
+  private async untilConfigured(deadline: number): Promise<void> {
+    const { catalog, clock } = this.parts;
+    if (catalog().configuration !== null) return;
+    await new Promise<void>((resolve) => {
+      let timer: Timer | null = null;
+      const resume = () => {
+        timer?.cancel();
+        this.unconfigured.delete(resume);
+        resolve();
+      };
+      timer = clock.setTimer(deadline, resume);
+      this.unconfigured.add(resume);
+    });
+  }
+
   private begin(request: IncomingMessage, id: string, arrivedAt: number): CallStart | OwnAnswer {
     const catalog = this.parts.catalog();
     if (catalog.configuration === null) return this.notRun('noConfiguration', request);
--- /dev/null
+++ b/standins/store/publishedValues.ts
@@ -0,0 +1,80 @@
+import { type ServerOptions } from '../server/serverStandin';
+
+/** One route of a configuration that a stand-in store publishes. */
+export interface PublishedRoute {
+  readonly prefix: string;
+  readonly service: string;
+  readonly isIdempotent: boolean;
+  readonly timeLimitMs?: number;
+  readonly objectiveMs?: number;
+  readonly priority?: number;
+  readonly mostAttempts?: number;
+  readonly parts?: readonly { service: string; weight: number }[];
+}
+
+/** What a server's entry says beyond its options. */
+export interface PublishedEntry {
+  readonly state?: string;
+  readonly coldLeftMs?: number;
+  readonly born?: number;
+  readonly zone?: string;
+}
+
+/** The value of a server's entry in the users' platform store. */
+export function serverValue(
+  service: string,
+  options: ServerOptions,
+  address: string,
+  entry: PublishedEntry = {},
+): unknown {
+  return {
+    address,
+    born: entry.born ?? 1,
+    info: { service, version: 'v1', zone: entry.zone ?? 'a', concurrency: options.slots ?? 6 },
+    status: {
+      state: entry.state ?? 'ready',
+      sequence: 1,
+      warmup_left_ms: entry.coldLeftMs ?? 0,
+    },
+  };
+}
+
+/** The value of a configuration in the users' platform store. */
+export function configurationValue(
+  version: number,
+  routes: readonly PublishedRoute[],
+  limits: Readonly<Record<string, number>> = {},
+): unknown {
+  const services = [
+    ...new Set(routes.flatMap((r) => r.parts?.map((part) => part.service) ?? [r.service])),
+  ];
+  return {
+    version,
+    routes: {
+      columns: [
+        ...['name', 'hostname', 'prefix', 'route_type', 'timeout_ms', 'target_latency_ms'],
+        ...['priority', 'service', 'max_attempts', 'weighted_backends'],
+      ],
+      rows: routes.map((route) => [
+        ...[`r${route.prefix}`, 'test.example', route.prefix],
+        route.isIdempotent ? 'idempotent' : 'non_idempotent',
+        ...[route.timeLimitMs ?? 1000, route.objectiveMs ?? 200, route.priority ?? 0],
+        route.parts === undefined ? route.service : null,
+        route.mostAttempts ?? 2,
+        route.parts ?? null,
+      ]),
+    },
+    services: {
+      columns: [
+        ...['name', 'health_check_path', 'max_connections', 'protocol', 'tls'],
+        ...['warmup_s', 'warmup_per_s'],
+      ],
+      rows: services.map((name) => [name, '/healthz', 100, 'h1', false, 3, 21]),
+    },
+    limits: {
+      ...{ max_header_bytes: 16384, max_body_bytes: 1_000_000 },
+      ...{ header_timeout_ms: 3000, idle_timeout_ms: 15000 },
+      ...limits,
+    },
+  };
+}
--- a/test/balancer/callPath.test.ts
+++ b/test/balancer/callPath.test.ts
@@ -47,6 +47,17 @@
     expect(await world.readiness()).toBe(503);
   });
 
+  // Guards against callers that are refused, and use up an attempt, by a host that starts and knows the
+  // configuration a moment later.
+  it('serves a call that arrived a moment before the first configuration', async () => {
+    await world.addServer('reads', { id: 'i-read', workMs: 5 });
+    world.configure([READ]);
+    await world.start({ waitReady: false, isFirstStart: false });
+    const early = world.call('GET', '/read/x');
+    expect(world.balancer!.isReady()).toBe(false);
+    expect((await early).status).toBe(200);
+  });
+
   // Guards against a route that is matched by another host name or by a shorter prefix.
   it('selects the longest prefix of the host name, and answers 404 for the rest', async () => {
     world.configure([READ, { ...BOOK, prefix: '/read/books/', isIdempotent: true }]);
--- a/test/support/platformWorld.ts
+++ b/test/support/platformWorld.ts
@@ -10,20 +10,14 @@
 import { BALANCER_SETTINGS, readSettings } from '../../src/settings';
 import { freePort } from '../../standins';
 import { type ServerOptions, ServerStandin } from '../../standins/server/serverStandin';
+import {
+  configurationValue,
+  type PublishedEntry,
+  type PublishedRoute,
+  serverValue,
+} from '../../standins/store/publishedValues';
 import { StoreStandin } from '../../standins/store/storeStandin';
 
-/** One route of the configuration in a test. */
-export interface TestRoute {
-  readonly prefix: string;
-  readonly service: string;
-  readonly isIdempotent: boolean;
-  readonly timeLimitMs?: number;
-  readonly objectiveMs?: number;
-  readonly priority?: number;
-  readonly mostAttempts?: number;
-  readonly parts?: readonly { service: string; weight: number }[];
-}
-
 /** What a caller got. */
 export interface CallerReply {
   readonly status: number;
@@ -64,7 +58,7 @@
   async addServer(
     service: string,
     options: ServerOptions,
-    entry: { state?: string; coldLeftMs?: number; born?: number; zone?: string } = {},
+    entry: PublishedEntry = {},
   ): Promise<ServerStandin> {
     const server = new ServerStandin(options);
     const address = await server.listen();
@@ -78,64 +72,24 @@
     service: string,
     options: ServerOptions,
     address: string,
-    entry: { state?: string; coldLeftMs?: number; born?: number; zone?: string } = {},
+    entry: PublishedEntry = {},
   ): void {
-    this.store.put(`servers/${options.id}`, {
-      address,
-      born: entry.born ?? 1,
-      info: { service, version: 'v1', zone: entry.zone ?? 'a', concurrency: options.slots ?? 6 },
-      status: {
-        state: entry.state ?? 'ready',
-        sequence: 1,
-        warmup_left_ms: entry.coldLeftMs ?? 0,
-      },
-    });
+    this.store.put(`servers/${options.id}`, serverValue(service, options, address, entry));
   }
 
   /** Publishes a configuration with these routes. */
-  configure(routes: readonly TestRoute[], limits: Readonly<Record<string, number>> = {}): void {
+  configure(
+    routes: readonly PublishedRoute[],
+    limits: Readonly<Record<string, number>> = {},
+  ): void {
     this.version += 3;
-    const services = [
-      ...new Set(routes.flatMap((r) => r.parts?.map((part) => part.service) ?? [r.service])),
-    ];
-    this.store.put('op/config', {
-      version: this.version,
-      routes: {
-        columns: [
-          ...['name', 'hostname', 'prefix', 'route_type', 'timeout_ms', 'target_latency_ms'],
-          ...['priority', 'service', 'max_attempts', 'weighted_backends'],
-        ],
-        rows: routes.map((route) => [
-          ...[`r${route.prefix}`, 'test.example', route.prefix],
-          route.isIdempotent ? 'idempotent' : 'non_idempotent',
-          ...[route.timeLimitMs ?? 1000, route.objectiveMs ?? 200, route.priority ?? 0],
-          route.parts === undefined ? route.service : null,
-          route.mostAttempts ?? 2,
-          route.parts ?? null,
-        ]),
-      },
-      services: {
-        columns: [
-          'name',
-          'health_check_path',
-          'max_connections',
-          'protocol',
-          'tls',
-          'warmup_s',
-          'warmup_per_s',
-        ],
-        rows: services.map((name) => [name, '/healthz', 100, 'h1', false, 3, 21]),
-      },
-      limits: {
-        ...{ max_header_bytes: 16384, max_body_bytes: 1_000_000 },
-        ...{ header_timeout_ms: 3000, idle_timeout_ms: 15000 },
-        ...limits,
-      },
-    });
+    this.store.put('op/config', configurationValue(this.version, routes, limits));
   }
 
   /** Starts the balancer and waits until it is ready, unless told not to. */
-  async start(options: { waitReady?: boolean; seed?: number } = {}): Promise<void> {
+  async start(
+    options: { waitReady?: boolean; seed?: number; isFirstStart?: boolean } = {},
+  ): Promise<void> {
     const source = await this.store.listen();
     this.callerPort = await freePort();
     this.readinessPort = await freePort();
@@ -152,6 +106,7 @@
         'control-address': `127.0.0.1:${this.controlPort}`,
         'exchange-port': String(await freePort()),
         source,
+        'first-start': String(options.isFirstStart ?? true),
         'retry-ratio': '0.2',
         'retry-slack': '400',
         'retry-window-s': '0.5',
