Open no peer connection after the transport is closed

Cause: traced in a gateway that was still alive 44 minutes after SIGTERM (test/wholePath stopped waiting for it after 30 s, 1 of 20 runs beside load): all was closed but one gRPC channel that kept retrying. The last change of the fleet arrived while the host closed, and setPeers opened connections that nobody closes any more. Change: a closed transport takes no peers.

--- a/src/peer/grpcTransport.ts
+++ b/src/peer/grpcTransport.ts
@@ -74,6 +74,9 @@
   }
 
   setPeers(peers: readonly PeerAddress[]): void {
+    // The last change of the fleet arrives while a stopping host closes; a connection that is opened then
+    // is closed by nobody, and its calls keep the process.
+    if (this.closed) return;
     const wanted = new Map(peers.map((peer) => [peer.hostId, peer]));
     for (const [hostId, connection] of this.connections) {
       if (wanted.get(hostId)?.address === connection.peer.address) continue;
--- a/test/peer.test.ts
+++ b/test/peer.test.ts
@@ -50,6 +50,24 @@
   counted = [];
 });
 
+// Guards against a stopping host whose last change of the fleet opens connections that nobody closes,
+// so that its process never ends.
+test('a closed transport opens no connection', async () => {
+  const listening = makeTransport('host-b');
+  const address = await listen(listening);
+  const beats = collectBeats(listening);
+  const closed = makeTransport('host-a');
+  collectBeats(closed);
+  closed.close();
+  closed.setPeers([{ hostId: 'host-b', address }]);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 500);
+  });
+  closed.setPeers([]);
+  listening.close();
+  expect(beats).toEqual([]);
+});
+
 function readAs(address: string, secret: string, version: number): Promise<number> {
   const client = new PeerClient(address, credentials.createInsecure());
   const metadata = new Metadata();
