Count only calls that have left when a target moves to another owner

The release counted it as in flight, the call could not leave, was routed again and waited at the new owner, with a cold limit of one, for the slot that it held itself, until its time limit. Change: once a target is owned elsewhere, describe counts what was sent. Test: test/routing/targetState, 2 calls counted instead of 1 before the change.

--- a/src/routing/targetState.ts
+++ b/src/routing/targetState.ts
@@ -156,12 +156,18 @@
     }
   }
 
+  /**
+   * State for the next owner. Once the target is owned elsewhere, calls that have not left cannot do so
+   * any more and are not counted: such a call is routed again, and would wait at the next owner for the
+   * slot that it holds here.
+   */
   describe(now: number): TargetDescription {
-    let lastDeadline = 0;
-    for (const { call } of this.flights) lastDeadline = Math.max(lastDeadline, call.deadline);
+    const counted = [...this.flights].filter(({ sentAt }) => this.isOwned || sentAt !== null);
+    const lastDeadline = Math.max(0, ...counted.map(({ call }) => call.deadline));
     const reserved = this.inherited !== null && now < this.inherited.reservedUntil;
+    const inherited = reserved ? this.inherited!.callsInFlight : 0;
     return {
-      callsInFlight: this.flights.size + this.held + (reserved ? this.inherited!.callsInFlight : 0),
+      callsInFlight: counted.length + this.held + inherited,
       lastDeadline: reserved ? Math.max(lastDeadline, this.inherited!.reservedUntil) : lastDeadline,
       limit: this.ramp.limit,
       coldUntil: this.ramp.coldUntil > now ? this.ramp.coldUntil : 0,
--- a/test/routing/targetState.test.ts
+++ b/test/routing/targetState.test.ts
@@ -169,6 +169,18 @@
   expect(await pool.ask()).toMatchObject({ target: { target: FIRST } });
 });
 
+// Guards against a call that waits at the next owner for the slot that it holds itself at the last one,
+// until its deadline: it was placed here, cannot leave any more, and is routed again.
+test('a call that has not left is not counted for the next owner', async () => {
+  const pool = new PoolFixture({ coldLimit: 3 });
+  const placed = await pool.ask();
+  await pool.send({ deadline: 700 });
+  pool.fleet.ownerOf.set(FIRST, 'host-2');
+  pool.router.applyView(pool.fleet.change());
+  expect(pool.router.describeTarget(FIRST)).toMatchObject({ callsInFlight: 1, lastDeadline: 700 });
+  expect(typeof placed === 'string' || placed.mayLeave().ok).toBe(false);
+});
+
 // Guards against a slot that is returned twice and so counted as free twice.
 test('finishing a slot twice is an internal error and is counted', async () => {
   const pool = new PoolFixture();
