Do not attribute a late copy of an answer to the next call, and end endless answers

Cause: found with new tests over real sockets. Change: an answer without a call id proves nothing on a reused connection; an answer longer than the buffer is read on only while it is passed on, and that until its caller no longer waits; the stand-in echoes the call id in refusals, as servers of the platform do.

--- a/src/delivery/attempt.ts
+++ b/src/delivery/attempt.ts
@@ -10,7 +10,7 @@
 import { type AttemptObserver } from './attemptObserver';
 import { type AttemptResult } from './attemptResult';
 import { type CallProtocol } from './callProtocol';
-import { classifyAnswer } from './classifyAnswer';
+import { type AnswerClassification, classifyAnswer } from './classifyAnswer';
 import { type ConnectionError } from './connectionError';
 import { type ExchangeListener } from './exchangeListener';
 import { type IncomingCall } from './incomingCall';
@@ -32,6 +32,8 @@
 
   private head: AnswerHead | null = null;
 
+  private isFramed = true;
+
   private chunks: Buffer[] = [];
 
   private receivedBytes = 0;
@@ -67,7 +69,8 @@
     this.sentAt = this.clock.now();
   }
 
-  onHead(status: number, headers: IncomingHttpHeaders): void {
+  onHead(status: number, headers: IncomingHttpHeaders, isFramed: boolean): void {
+    this.isFramed = isFramed;
     this.head = { status, headers, metadata: this.protocol.readAnswer(headers) };
     this.observer.onHead(this, this.head);
   }
@@ -78,15 +81,16 @@
     this.receivedBytes += chunk.length;
     if (this.receivedBytes <= MAX_BUFFERED_ANSWER_BYTES || this.hasEnded)
       return this.receivedBytes <= MAX_BUFFERED_ANSWER_BYTES;
-    const { end } = classifyAnswer(this.head!, this.call);
-    if (end !== 'answered') return true;
-    this.finish({ end, answer: this.receivedAnswer(this.openRest()), error: null, message: '' });
+    const { end } = this.classify();
+    if (end === 'answered' && this.isFramed)
+      this.finish({ end, answer: this.receivedAnswer(this.openRest()), error: null, message: '' });
+    else this.discardLongAnswer(end);
     return false;
   }
 
   onEnd(isFramed: boolean): void {
     const canReuse = isFramed && this.head!.headers.connection !== 'close';
-    const { end, message } = classifyAnswer(this.head!, this.call);
+    const { end, message } = this.classify();
     // An interrupted connection often closes like a finished one, so an answer that is delimited only
     // by the close of the connection is never forwarded as complete.
     if (isFramed) {
@@ -99,6 +103,22 @@
       });
   }
 
+  private classify(): AnswerClassification {
+    return classifyAnswer(this.head!, this.call, this.connection.isReused());
+  }
+
+  // An answer that is not passed on is not read to its end, which may never come.
+  private discardLongAnswer(end: AttemptOutcome): void {
+    this.chunks = [];
+    this.finish({
+      end: end === 'notRun' ? end : 'unknown',
+      answer: null,
+      error: 'garbled',
+      message: 'answer is longer than allowed for one that is not passed on',
+    });
+    this.connection.close();
+  }
+
   private endComplete(end: AttemptOutcome, message: string): void {
     if (this.hasEnded) {
       this.resolveRest?.(true);
@@ -131,7 +151,11 @@
     return {
       pipeTo: (output) =>
         new Promise((resolve) => {
-          this.resolveRest = resolve;
+          const timer = this.clock.setTimer(this.restDeadline(), () => this.abort());
+          this.resolveRest = (isWhole) => {
+            timer.cancel();
+            resolve(isWhole);
+          };
           this.output = output;
           output.on('drain', () => this.connection.resume());
           output.on('close', () => this.abort());
@@ -140,6 +164,12 @@
     };
   }
 
+  /** Time after which nobody waits for the rest of a long answer. */
+  private restDeadline(): number {
+    const { callerDeadline, route } = this.call;
+    return Number.isFinite(callerDeadline) ? callerDeadline : this.clock.now() + route.timeLimitMs;
+  }
+
   private buildRequest(): OutgoingRequest {
     const { call, protocol } = this;
     const remainingMs = Math.max(1, Math.floor(call.deadline - this.clock.now()));
--- a/src/delivery/classifyAnswer.ts
+++ b/src/delivery/classifyAnswer.ts
@@ -9,9 +9,20 @@
   readonly message: string;
 }
 
-/** Classifies an answer by its head; whether the body is complete is checked elsewhere. */
-export function classifyAnswer(head: AnswerHead, call: IncomingCall): AnswerClassification {
+/**
+ * Classifies an answer by its head; whether the body is complete is checked elsewhere. On a reused
+ * connection an answer without a call id may be a late copy of an earlier one, so that it proves
+ * nothing about this call.
+ */
+export function classifyAnswer(
+  head: AnswerHead,
+  call: IncomingCall,
+  isConnectionReused: boolean,
+): AnswerClassification {
   const { status, headers, metadata } = head;
+  if (metadata.callId === null && isConnectionReused) {
+    return { end: 'unknown', message: 'answer without call id on a reused connection' };
+  }
   if (metadata.callId !== null && metadata.callId !== call.id) {
     return { end: 'unknown', message: `answer of another call: ${metadata.callId}` };
   }
--- a/src/delivery/exchangeListener.ts
+++ b/src/delivery/exchangeListener.ts
@@ -6,10 +6,10 @@
 export interface ExchangeListener {
   /** The request is about to be written to the connection. */
   onSent(): void;
-  onHead(status: number, headers: IncomingHttpHeaders): void;
+  /** `isFramed` is false when the answer is delimited only by the close of the connection. */
+  onHead(status: number, headers: IncomingHttpHeaders, isFramed: boolean): void;
   /** Returns false to pause the answer until `resume` of the connection is called. */
   onData(chunk: Buffer): boolean;
-  /** `isFramed` is false when the answer is delimited only by the close of the connection. */
   onEnd(isFramed: boolean): void;
   onError(error: ConnectionError): void;
 }
--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -39,6 +39,8 @@
 
   private isClosed = false;
 
+  private requestsSent = 0;
+
   private activeListener: ExchangeListener | null = null;
 
   private controller: Dispatcher.DispatchController | null = null;
@@ -77,9 +79,15 @@
     return this.socket !== null && !this.isClosed;
   }
 
+  /** Whether the request in progress, or the last one, is not the first on this connection. */
+  isReused(): boolean {
+    return this.requestsSent > 1;
+  }
+
   /** Sends a request; only one may be in progress at a time. */
   send(request: OutgoingRequest, listener: ExchangeListener): void {
     this.activeListener = listener;
+    this.requestsSent += 1;
     const { method, path, headers, body } = request;
     let isStarted = false;
     let isFramed = true;
@@ -102,7 +110,7 @@
               method === 'HEAD' ||
               status === 204 ||
               status === 304;
-            if (this.activeListener === listener) listener.onHead(status, answerHeaders);
+            if (this.activeListener === listener) listener.onHead(status, answerHeaders, isFramed);
           },
           onResponseData: (controller, chunk) => {
             if (this.activeListener === listener && !listener.onData(chunk)) controller.pause();
--- a/standins/server/serverStandin.ts
+++ b/standins/server/serverStandin.ts
@@ -154,12 +154,13 @@
     const callId = request.headers.get('request-id') ?? '';
     const expectedInstance = request.headers.get('expected-instance');
     if (this.mode === 'other' || (expectedInstance !== undefined && expectedInstance !== id)) {
-      this.write(socket, 421, ['Upstream-Instance: i-other'], '');
+      this.write(socket, 421, [`Request-Id: ${callId}`, 'Upstream-Instance: i-other'], '');
       return;
     }
     const isFull = this.running >= (this.options.slots ?? Infinity);
     if (this.mode === 'full' || (isFull && this.mode === 'well')) {
-      this.write(socket, 503, ['Not-Executed: 1', ...this.loadHeaders()], '');
+      const headers = [`Request-Id: ${callId}`, 'Not-Executed: 1', ...this.loadHeaders()];
+      this.write(socket, 503, headers, '');
       return;
     }
     if (this.mode === 'resetWhenFull' && isFull) {
--- /dev/null
+++ b/test/support/balancerProcess.ts
@@ -0,0 +1,86 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { freePort } from '../../standins';
+
+import { type TestPlatform } from './testPlatform';
+
+const MAIN = join(__dirname, '..', '..', 'dist', 'platform', 'main.js');
+const BYTES_PER_KILOBYTE = 1024;
+
+/** A balancer in a process of its own, with its settings file, for a test. */
+export class BalancerProcess {
+  child: ChildProcess | null = null;
+
+  output = '';
+
+  settings: Record<string, string> = {};
+
+  private readonly folder = mkdtempSync(join(tmpdir(), 'balancer-'));
+
+  constructor(private readonly platform: TestPlatform) {}
+
+  /** Chooses free ports on `ip` and settings that fit the stand-ins of the platform. */
+  async prepare(ip = '127.0.0.1', source?: string): Promise<void> {
+    this.platform.callerPort = await freePort();
+    this.platform.readinessPort = await freePort();
+    this.settings = {
+      'host-id': 'host-1',
+      zone: 'a',
+      zones: 'a',
+      'caller-address': `${ip}:${this.platform.callerPort}`,
+      'readiness-address': `${ip}:${this.platform.readinessPort}`,
+      'control-address': `${ip}:${await freePort()}`,
+      'exchange-port': String(await freePort()),
+      'stop-grace-s': '4',
+      'settings-check-ms': '100',
+      source: source ?? (await this.platform.store.listen()),
+    };
+  }
+
+  /** Writes the settings file. */
+  writeSettings(): void {
+    const lines = Object.entries(this.settings).map(([name, value]) => `${name}=${value}`);
+    writeFileSync(join(this.folder, 'settings'), `${lines.join('\n')}\n`);
+  }
+
+  /** Starts the process; resolves to its exit code when it ends. */
+  launch(): Promise<number | null> {
+    const child = spawn(process.execPath, [MAIN], {
+      env: { PATH: process.env.PATH, LIMPETKNOT_NODE_FILE: join(this.folder, 'settings') },
+    });
+    this.child = child;
+    const appendOutput = (chunk: Buffer) => {
+      this.output += chunk.toString('utf8');
+    };
+    child.stdout.on('data', appendOutput);
+    child.stderr.on('data', appendOutput);
+    return new Promise((resolve) => {
+      child.on('exit', (code) => resolve(code));
+    });
+  }
+
+  /** Waits until the process reports that it is ready. */
+  async untilReady(): Promise<void> {
+    for (let attempt = 0; attempt < 300; attempt += 1) {
+      const status = await this.platform.readiness().catch(() => 0);
+      if (status === 200) return;
+      await this.platform.sleep(20);
+    }
+    throw new Error(`not ready: ${this.output}`);
+  }
+
+  /** Resident memory of the process, in bytes. */
+  residentBytes(): number {
+    const status = readFileSync(`/proc/${this.child!.pid}/status`, 'utf8');
+    return Number(/VmRSS:\s+(\d+)/.exec(status)![1]) * BYTES_PER_KILOBYTE;
+  }
+
+  /** Ends the process and removes its files. */
+  close(): void {
+    this.child?.kill('SIGKILL');
+    rmSync(this.folder, { recursive: true });
+  }
+}
