Wait for the first health check of a new target, and survive malformed bytes and stops

Cause: (1) A call that waited for the first configuration was refused at once, since its wait for a target was counted from its arrival and a new target is used only after its first check. (2) Fuzzed datagrams, store answers and control requests threw in handlers: a heartbeat with null members, text that is not JSON, the request target //; an error in a timer's run ended the series, one in the reader its task. (3) A planned stop closed a connection with its first answer although calls behind it were running.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -1,6 +1,6 @@
 import { Err, Ok, type Result } from 'ts-results';
 
-import { decodeChanges, type CatalogChanges, Ledger } from '../catalog';
+import { type CatalogChanges, Ledger, readChanges } from '../catalog';
 import {
   CallServer,
   CrashGuard,
@@ -364,9 +364,9 @@
     const client = new JsonClient(`http://${host.ip}:${port}`, clock);
     const reply = await client.get(`/catalog?after=${after}`, clock.now() + PULL_TIMEOUT_MS);
     client.close();
-    if (reply.ok && reply.val.status === 200) {
-      return decodeChanges(JSON.stringify(reply.val.body), clock.now());
-    }
+    const isServed = reply.ok && reply.val.status === 200;
+    const changes = isServed ? readChanges(reply.val.body, clock.now()) : null;
+    if (changes !== null) return changes;
     const reason = reply.ok ? `status ${reply.val.status}` : reply.val.message;
     events.emit(EXCHANGE_EVENTS.pullFailed, { peer: host.id, after, reason });
     return null;
--- a/src/balancer/stop.ts
+++ b/src/balancer/stop.ts
@@ -29,10 +29,10 @@
     clock,
     startedAt + Math.min(NOT_READY_NOTICE_MS, graceMs * NOT_READY_NOTICE_SHARE),
   );
-  calls.server.close();
+  const listenerClosed = calls.closeListener();
   events.emit(BALANCER_EVENTS.listenerClosed, { running: calls.callsRunning() });
   const graceEnd = waitUntil(clock, startedAt + graceMs - CLOSE_RESERVE_MS);
-  await Promise.race([calls.whenIdle(), graceEnd]);
+  await Promise.race([listenerClosed, graceEnd]);
   if (calls.callsRunning() > 0) {
     events.emit(BALANCER_EVENTS.interrupted, { running: calls.callsRunning() });
   }
--- a/src/catalog/changesCodec.ts
+++ b/src/catalog/changesCodec.ts
@@ -1,5 +1,6 @@
 import { type CatalogChanges } from './catalogChanges';
 import { type CatalogRecord } from './catalogRecord';
+import { changesSchema } from './changesSchema';
 
 // Hosts send the remaining time of a cold period, as their monotonic clocks differ.
 function mapColdUntil(
@@ -22,7 +23,23 @@
   );
 }
 
-/** Decodes changes from a host of the same protocol version; throws when the text is not JSON. */
-export function decodeChanges(text: string, now: number): CatalogChanges {
-  return mapColdUntil(JSON.parse(text) as CatalogChanges, (left) => (left > 0 ? now + left : 0));
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    // Rejected by the schema, like any other text that is not a set of changes.
+    return undefined;
+  }
+}
+
+/** Reads changes that another host sent as JSON; null when they are not valid. */
+export function readChanges(body: unknown, now: number): CatalogChanges | null {
+  const parsed = changesSchema.safeParse(body);
+  if (!parsed.success) return null;
+  return mapColdUntil(parsed.data, (left) => (left > 0 ? now + left : 0));
+}
+
+/** Decodes the text of changes that another host sent; null when they are not valid. */
+export function decodeChanges(text: string, now: number): CatalogChanges | null {
+  return readChanges(parseJson(text), now);
 }
--- /dev/null
+++ b/src/catalog/changesSchema.ts
@@ -0,0 +1,61 @@
+import * as z from 'zod';
+
+import { type CatalogChanges } from './catalogChanges';
+
+const revision = z.number().int().nonnegative();
+
+const routeSchema = z.object({
+  name: z.string(),
+  hostName: z.string(),
+  prefix: z.string(),
+  isIdempotent: z.boolean(),
+  timeLimitMs: z.number().positive(),
+  latencyObjectiveMs: z.number().positive(),
+  priority: z.number(),
+  mostAttempts: z.number(),
+  parts: z.array(z.object({ service: z.string(), weight: z.number().nonnegative() })),
+});
+
+const configurationSchema = z.object({
+  version: z.number(),
+  routes: z.array(routeSchema),
+  services: z.array(
+    z.object({
+      name: z.string(),
+      probePath: z.string(),
+      connectionLimit: z.number(),
+      coldPeriodMs: z.number(),
+      coldRatePerSecond: z.number(),
+    }),
+  ),
+  limits: z.object({
+    headerBytes: z.number(),
+    bodyBytes: z.number(),
+    headerTimeoutMs: z.number(),
+    idleTimeoutMs: z.number(),
+  }),
+});
+
+const targetSchema = z.object({
+  id: z.string(),
+  service: z.string(),
+  address: z.string(),
+  zone: z.string(),
+  slots: z.number().positive(),
+  state: z.enum(['ready', 'leaving']),
+  coldUntil: z.number(),
+  startedAt: z.number().nullable(),
+});
+
+const factSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('configuration'), configuration: configurationSchema }),
+  z.object({ kind: z.literal('target'), target: targetSchema }),
+  z.object({ kind: z.literal('zoneOut'), zone: z.string() }),
+]);
+
+/** Catalog changes as other hosts send them. */
+export const changesSchema: z.ZodType<CatalogChanges> = z.object({
+  after: revision.nullable(),
+  asOf: revision,
+  records: z.array(z.object({ key: z.string(), revision, fact: factSchema.nullable() })),
+});
--- a/src/catalog/index.ts
+++ b/src/catalog/index.ts
@@ -11,4 +11,4 @@
 export { RouteTable } from './routeTable';
 export { buildCatalog } from './buildCatalog';
 export { Ledger } from './ledger';
-export { encodeChanges, decodeChanges } from './changesCodec';
+export { encodeChanges, decodeChanges, readChanges } from './changesCodec';
--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -26,6 +26,8 @@
 // A call without a usable target waits for at most this share of its latency objective. After that,
 // a retry by the caller at another host has the better chance.
 const MAX_WAIT_OBJECTIVE_SHARE = 1 / 8;
+// The first health check of a new target ends within this time.
+const FIRST_CHECK_WAIT_MS = 250;
 // The end of a call of this host wakes a waiting call at once; slots freed by other hosts and
 // recovered paces are noticed by rechecks at this interval.
 const RECHECK_INTERVAL_MS = 6;
@@ -38,6 +40,9 @@
 
   private readonly triedTargets = new Set<string>();
 
+  /** Monotonic time at which the call could first be placed. */
+  private readonly placeableSince: number;
+
   private timers: Timer[] = [];
 
   private recheckTimer: Timer | null = null;
@@ -62,7 +67,9 @@
   constructor(
     private readonly context: DeliveryContext,
     private readonly call: IncomingCall,
-  ) {}
+  ) {
+    this.placeableSince = context.clock.now();
+  }
 
   /** Ends the task because the caller has closed the connection. */
   callerLeft(): void {
@@ -114,9 +121,10 @@
   // The placement itself limits the wait of a call for a slot of an overloaded target.
   private mayWait(reason: RefusalReason): boolean {
     if (reason === 'overloaded') return true;
-    const waitEnd =
-      this.call.arrivedAt + this.call.route.latencyObjectiveMs * MAX_WAIT_OBJECTIVE_SHARE;
-    return this.context.clock.now() < waitEnd;
+    const usualWaitMs = this.call.route.latencyObjectiveMs * MAX_WAIT_OBJECTIVE_SHARE;
+    const waitMs =
+      reason === 'unchecked' ? Math.max(usualWaitMs, FIRST_CHECK_WAIT_MS) : usualWaitMs;
+    return this.context.clock.now() < this.placeableSince + waitMs;
   }
 
   private joinQueue(reason: RefusalReason): void {
--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type Socket } from 'node:net';
 
 import { type Catalog } from '../catalog';
 import { type EventSink } from '../logging';
@@ -50,7 +51,8 @@
 
   private runningCalls = 0;
 
-  private resolveIdle: (() => void) | null = null;
+  /** Calls without a complete answer, by connection. */
+  private readonly openCalls = new WeakMap<Socket, number>();
 
   /** Callbacks that resume the calls which arrived before the first configuration. */
   private readonly awaitingConfiguration = new Set<() => void>();
@@ -79,19 +81,22 @@
     return this.runningCalls;
   }
 
-  /** Resolves as soon as no call is running. */
-  whenIdle(): Promise<void> {
-    if (this.runningCalls === 0) return Promise.resolve();
+  /**
+   * Stops accepting connections and closes the idle ones; resolves when the others have closed, with
+   * all their calls answered.
+   */
+  closeListener(): Promise<void> {
     return new Promise((resolve) => {
-      this.resolveIdle = resolve;
+      this.server.close(() => resolve());
     });
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.runningCalls += 1;
     const arrivedAt = this.parts.clock.now();
-    const { protocol, isStopping, observer, clock } = this.parts;
-    const answer = new CallerAnswer(response, protocol, isStopping);
+    const { protocol, observer, clock } = this.parts;
+    this.countOpenCall(request.socket, response);
+    const answer = new CallerAnswer(response, protocol, () => this.mustClose(request.socket));
     // A caller that disconnects ends its call through 'close'; write errors add no information.
     response.on('error', () => {});
     const header = request.headers[protocol.callIdHeader];
@@ -103,12 +108,28 @@
       if (end.kind === 'own' && answer.isOpen()) answer.respond(end.own, id);
       if (end.kind === 'answer' && answer.isOpen()) await answer.forward(end.answer);
       if (!request.complete) request.resume();
+    } catch (error) {
+      this.parts.events.emit(DELIVERY_EVENTS.unexpected, { call: id, reason: String(error) });
+      if (response.headersSent) response.destroy();
+      else answer.respond({ kind: 'unknown', status: 502, detail: 'unexpected error' }, id);
     } finally {
       this.runningCalls -= 1;
-      if (this.runningCalls === 0) this.resolveIdle?.();
     }
   }
 
+  private countOpenCall(socket: Socket, response: ServerResponse): void {
+    this.openCalls.set(socket, (this.openCalls.get(socket) ?? 0) + 1);
+    response.once('close', () => {
+      this.openCalls.set(socket, this.openCalls.get(socket)! - 1);
+    });
+  }
+
+  // A caller may have sent further calls behind this one, which are running; their answers need the
+  // connection.
+  private mustClose(socket: Socket): boolean {
+    return this.parts.isStopping() && this.openCalls.get(socket) === 1;
+  }
+
   private async handle(
     request: IncomingMessage,
     response: ServerResponse,
--- a/src/delivery/callerAnswer.ts
+++ b/src/delivery/callerAnswer.ts
@@ -33,7 +33,8 @@
   constructor(
     private readonly response: ServerResponse,
     private readonly protocol: CallProtocol,
-    private readonly isStopping: () => boolean,
+    /** Whether the connection closes after this answer. */
+    private readonly mustClose: () => boolean,
   ) {}
 
   /** False when the caller has disconnected or has been answered. */
@@ -92,7 +93,7 @@
   }
 
   private connectionHeaders(): Record<string, string | string[]> {
-    return this.isStopping() ? { connection: 'close' } : {};
+    return this.mustClose() ? { connection: 'close' } : {};
   }
 
   private setContentLength(
--- a/src/delivery/events.ts
+++ b/src/delivery/events.ts
@@ -11,5 +11,6 @@
     level: 'warn',
     message: 'connection to target failed or ended before a complete answer',
   },
+  unexpected: { number: 2207, level: 'error', message: 'unexpected error while a call was served' },
   crash: { number: 2206, level: 'warn', message: 'target crashed while it ran a call' },
 });
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -1,5 +1,6 @@
 import { type Catalog, type Configuration, type Route, type Target } from '../catalog';
 import {
+  isUnchecked,
   type LastSlotSlowdowns,
   type TargetStatisticsTable,
   type WorkEstimates,
@@ -181,6 +182,7 @@
       isConnected: this.parts.isConnected(target),
       isCold: targetState.coldUntil > now,
       isUnconfirmed: targetState.lostAt > targetState.confirmedHealthyAt,
+      isUnchecked: isUnchecked(targetState),
     };
   }
 
--- a/src/exchange/datagramCodec.ts
+++ b/src/exchange/datagramCodec.ts
@@ -1,5 +1,6 @@
-import { type ChangesMessage, type CrashNotice, type Heartbeat, type Message } from './message';
+import { type Message } from './message';
 import { decodePacked, encodePacked, PACKED_CODECS, type PackedMessage } from './packedCodec';
+import { changesFieldsSchema, crashFieldsSchema, heartbeatSchema } from './textSchemas';
 
 /** Protocol version; datagrams of any other version are dropped. */
 export const EXCHANGE_VERSION = 2;
@@ -59,7 +60,7 @@
         shouldReply,
         otherZone,
         newest,
-      ] = fields;
+      ] = heartbeatSchema.parse(fields);
       return {
         kind: 'heartbeat',
         host: [id, zone, ip],
@@ -69,31 +70,30 @@
         members: members ?? undefined,
         shouldReplyWithMembers: shouldReply === 1,
         otherZone: otherZone ?? undefined,
-      } as Heartbeat;
+      };
     },
   },
   changes: {
     encode: (message) => [message.shouldRebroadcast ? 1 : 0, message.text],
-    decode: ([shouldRebroadcast, text]) =>
-      ({
-        kind: 'changes',
-        shouldRebroadcast: shouldRebroadcast === 1,
-        text: text as string,
-      }) satisfies ChangesMessage,
+    decode: (fields) => {
+      const [shouldRebroadcast, text] = changesFieldsSchema.parse(fields);
+      return { kind: 'changes', shouldRebroadcast: shouldRebroadcast === 1, text };
+    },
   },
   crash: {
     encode: (notice) => [
       ...[notice.shouldRebroadcast ? 1 : 0, notice.fingerprint, notice.callId],
       notice.isCleared ? 1 : 0,
     ],
-    decode: ([shouldRebroadcast, fingerprint, callId, cleared]) =>
-      ({
+    decode: (fields) => {
+      const [shouldRebroadcast, fingerprint, callId, isCleared] = crashFieldsSchema.parse(fields);
+      return {
         kind: 'crash',
         shouldRebroadcast: shouldRebroadcast === 1,
-        fingerprint: fingerprint as string,
-        callId: callId as string,
-        isCleared: cleared === 1,
-      }) satisfies CrashNotice,
+        ...{ fingerprint, callId },
+        isCleared: isCleared === 1,
+      };
+    },
   },
 };
 
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -100,7 +100,9 @@
     flights: ({ counts, shouldRebroadcast }) =>
       this.parts.onInFlightCounts(counts, shouldRebroadcast === true),
     changes: (message) => {
-      this.parts.ledger.apply(decodeChanges(message.text, this.parts.clock.now()));
+      const changes = decodeChanges(message.text, this.parts.clock.now());
+      if (changes === null) return;
+      this.parts.ledger.apply(changes);
       if (message.shouldRebroadcast) this.rebroadcast({ ...message, shouldRebroadcast: false });
     },
     crash: (notice) => {
--- a/src/knowledge/index.ts
+++ b/src/knowledge/index.ts
@@ -1,5 +1,5 @@
 export { type TargetReport, type ObservationKind } from './targetReport';
-export { type TargetStatistics } from './targetStatistics';
+export { type TargetStatistics, isUnchecked } from './targetStatistics';
 export { TargetStatisticsTable, USUAL_PACE_PERCENT } from './targetStatisticsTable';
 export { type InFlightCounts } from './inFlightCounts';
 export { identityKey } from './identityKey';
--- a/src/knowledge/targetStatistics.ts
+++ b/src/knowledge/targetStatistics.ts
@@ -22,8 +22,19 @@
   failureAt: number;
   /** Monotonic time of the last reported sign that the target is up: an answer or a refusal. */
   confirmedHealthyAt: number;
+  /** Monotonic time at which the target was announced, or announced again after a restart. */
+  announcedAt: number;
   /** Monotonic time of the last sign that the target is unreachable or restarted; 0 for none. */
   lostAt: number;
   /** Whether the last health check found the target unhealthy. */
   isUnhealthy: boolean;
 }
+
+/** Whether the target awaits its first health check since it was announced. */
+export function isUnchecked({
+  confirmedHealthyAt,
+  lostAt,
+  announcedAt,
+}: TargetStatistics): boolean {
+  return confirmedHealthyAt === -Infinity && lostAt <= announcedAt;
+}
--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -173,6 +173,7 @@
       failureShare: 0,
       failureAt: now,
       confirmedHealthyAt: -Infinity,
+      announcedAt: now,
       // A restarted target must first be confirmed healthy by a health check.
       lostAt: previous === undefined ? 0 : now,
       isUnhealthy: false,
--- a/src/placement/candidate.ts
+++ b/src/placement/candidate.ts
@@ -19,4 +19,6 @@
   readonly isCold: boolean;
   /** Whether no success was observed since the target became unreachable; it may have restarted. */
   readonly isUnconfirmed: boolean;
+  /** Whether it is unconfirmed only because its first health check is still awaited. */
+  readonly isUnchecked: boolean;
 }
--- a/src/placement/chooseTarget.ts
+++ b/src/placement/chooseTarget.ts
@@ -109,14 +109,17 @@
 ): Placement {
   let best: RatedCandidate | null = null;
   let hasCold = false;
+  let hasUnchecked = false;
   for (const candidate of candidates) {
     if (candidate.isCold) hasCold = true;
+    if (candidate.isUnchecked) hasUnchecked = true;
     if (candidate.isCold || candidate.isUnconfirmed) continue;
     const rated = rateCandidate(candidate, requirements, random);
     if (best === null || rated.cost < best.cost) best = rated;
   }
   if (best === null) {
-    return { kind: 'wait', reason: hasCold ? 'allCold' : 'noTarget', best: null };
+    const withoutCold = hasUnchecked ? 'unchecked' : 'noTarget';
+    return { kind: 'wait', reason: hasCold ? 'allCold' : withoutCold, best: null };
   }
   const wait = { kind: 'wait', reason: 'overloaded', best: best.candidate.target } as const;
   const refusal = { ...wait, kind: 'refuse' } as const;
--- a/src/placement/refusalReason.ts
+++ b/src/placement/refusalReason.ts
@@ -2,6 +2,8 @@
 export type RefusalReason =
   | 'noConfiguration'
   | 'noTarget'
+  /** All usable targets are new and await their first health check. */
+  | 'unchecked'
   | 'allCold'
   | 'overloaded'
   /** Targets with free slots refused to run it. */
--- a/src/placement/retryAfter.ts
+++ b/src/placement/retryAfter.ts
@@ -21,6 +21,7 @@
   // A host reads its first configuration within half a second of its start.
   noConfiguration: () => [150, 450],
   noTarget: () => [100, 400],
+  unchecked: () => [100, 400],
   allCold: () => [200, 600],
   // A queue of one call per slot drains within the time of one call; urgent calls return first.
   overloaded: ({ workMs, rank }) => [workMs * (0.5 + 0.5 * rank), workMs * (1.5 + rank)],
--- a/src/source/catalogReader.ts
+++ b/src/source/catalogReader.ts
@@ -85,7 +85,7 @@
       }
       const result = await this.readOnce();
       if (this.isClosed) return;
-      if (result.ok) await this.applyChanges(result.val);
+      if (result.ok) await this.applyOrReport(result.val);
       else await this.handleFailure(result.val);
     }
   }
@@ -108,6 +108,15 @@
     return source.watch(after, Math.max(watchUntil, now + 1), watchUntil + WATCH_GRACE_MS);
   }
 
+  // An unexpected error while changes are applied must not end the task for good.
+  private async applyOrReport(changes: CatalogChanges): Promise<void> {
+    try {
+      await this.applyChanges(changes);
+    } catch (error) {
+      await this.handleFailure({ kind: 'unreadable', message: String(error) });
+    }
+  }
+
   private async applyChanges(changes: CatalogChanges): Promise<void> {
     const { clock, ledger } = this.parts;
     this.answeredAt = clock.now();
--- a/standins/server/serverStandin.ts
+++ b/standins/server/serverStandin.ts
@@ -83,6 +83,9 @@
 
   coldLeftMs = 0;
 
+  /** Body of its answers; null for one that names the server and the call. */
+  answerBody: string | null = null;
+
   /** Requests received, without health checks; includes requests that were not run. */
   requestCount = 0;
 
@@ -186,7 +189,7 @@
 
   private respond(socket: Socket, callId: string): void {
     const signed = [`Request-Id: ${callId}`, 'Upstream-Signature: s.1', ...this.loadHeaders()];
-    const body = `answer of ${this.options.id} to ${callId}`;
+    const body = this.answerBody ?? `answer of ${this.options.id} to ${callId}`;
     const head = (lines: readonly string[]) => `HTTP/1.1 200 OK\r\n${lines.join('\r\n')}\r\n\r\n`;
     const response = `${head([...signed, `Content-Length: ${body.length}`])}${body}`;
     const responders: Readonly<Record<ServerMode, () => void>> = {
--- a/standins/store/storeStandin.ts
+++ b/standins/store/storeStandin.ts
@@ -41,6 +41,13 @@
   /** Maximum number of items in a page of a range read. */
   pageSize = 500;
 
+  /** Changes the bytes of each reply; null sends them as they are. */
+  mangle: ((reply: string) => string) | null = null;
+
+  /** While set, reads are answered with the items as of this moment. */
+  private frozen: { readonly items: ReadonlyMap<string, Item>; readonly revision: number } | null =
+    null;
+
   constructor() {
     this.server = createServer((request, response) => this.handleRequest(request, response));
   }
@@ -72,6 +79,11 @@
     return this.calls;
   }
 
+  /** Serves range reads from the present state, whatever changes later; false ends that. */
+  serveOldReads(isOld: boolean): void {
+    this.frozen = isOld ? { items: new Map(this.items), revision: this.revision } : null;
+  }
+
   /** Writes a value as JSON; returns its revision. */
   put(key: string, value: unknown): number {
     return this.putBytes(key, Buffer.from(JSON.stringify(value), 'utf8'));
@@ -138,12 +150,16 @@
   }
 
   private sendPage(prefix: string, after: string, response: ServerResponse): void {
-    const matching = [...this.items.values()]
+    const { items: present, revision } = this.frozen ?? {
+      items: this.items,
+      revision: this.revision,
+    };
+    const matching = [...present.values()]
       .filter((item) => item.key.startsWith(prefix) && item.key > after)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
     const items = matching.slice(0, this.pageSize);
-    const body = { items, has_more: matching.length > items.length, as_of: this.revision };
-    response.end(JSON.stringify(body));
+    const body = { items, has_more: matching.length > items.length, as_of: revision };
+    this.reply(response, body);
   }
 
   private watch(prefix: string, after: number, waitMs: number, response: ServerResponse): void {
@@ -169,6 +185,11 @@
     const events = this.history.filter(
       (item) => item.revision > after && item.key.startsWith(prefix),
     );
-    response.end(JSON.stringify({ events, as_of: this.revision }));
+    this.reply(response, { events, as_of: this.revision });
+  }
+
+  private reply(response: ServerResponse, body: unknown): void {
+    const text = JSON.stringify(body);
+    response.end(this.mangle === null ? text : this.mangle(text));
   }
 }
--- a/test/catalog/ledger.test.ts
+++ b/test/catalog/ledger.test.ts
@@ -115,17 +115,17 @@
         const before = other.catalog().asOf;
         const text = encodeChanges(source.changesAfter(before), 0);
         const draw = random.next();
-        if (draw < 0.3) other.apply(decodeChanges(text, 0));
+        if (draw < 0.3) other.apply(decodeChanges(text, 0)!);
         else if (draw < 0.5) delayed.push({ to: other, text });
         if (delayed.length > 0 && random.next() < 0.3) {
           const [message] = delayed.splice(random.integer(delayed.length), 1);
-          message!.to.apply(decodeChanges(message!.text, 0));
+          message!.to.apply(decodeChanges(message!.text, 0)!);
         }
         expect(other.catalog().asOf).toBeGreaterThanOrEqual(before);
       }
     }
     for (const other of others) {
-      other.apply(decodeChanges(encodeChanges(source.changesAfter(other.catalog().asOf), 0), 0));
+      other.apply(decodeChanges(encodeChanges(source.changesAfter(other.catalog().asOf), 0), 0)!);
       expect([...other.catalog().targets.entries()].sort()).toEqual(
         [...source.catalog().targets.entries()].sort(),
       );
--- a/test/placement/chooseTarget.test.ts
+++ b/test/placement/chooseTarget.test.ts
@@ -19,6 +19,7 @@
     isConnected: true,
     isCold: false,
     isUnconfirmed: false,
+    isUnchecked: false,
     ...over,
   };
 }
@@ -85,6 +86,9 @@
   it('waits when all targets are cold or may have restarted', () => {
     expect(choose([candidate({ isCold: true })])).toBe('wait allCold');
     expect(choose([candidate({ isUnconfirmed: true })])).toBe('wait noTarget');
+    const isNew = { isUnconfirmed: true, isUnchecked: true };
+    expect(choose([candidate(isNew)])).toBe('wait unchecked');
+    expect(choose([candidate(isNew), candidate({ target: 'old' })])).toBe('old');
     expect(choose([candidate({ isCold: true }), candidate({ target: 'warm', load: 9 })])).toBe(
       'warm',
     );
--- a/test/support/testPlatform.ts
+++ b/test/support/testPlatform.ts
@@ -50,6 +50,8 @@
 
   controlPort = 0;
 
+  exchangePort = 0;
+
   private version = 1;
 
   private callsSent = 0;
@@ -94,6 +96,7 @@
     this.callerPort = await freePort();
     this.readinessPort = await freePort();
     this.controlPort = await freePort();
+    this.exchangePort = await freePort();
     const settings = readSettings(BALANCER_SETTINGS, {
       arguments: [],
       environment: {},
@@ -104,7 +107,7 @@
         'caller-address': `127.0.0.1:${this.callerPort}`,
         'readiness-address': `127.0.0.1:${this.readinessPort}`,
         'control-address': `127.0.0.1:${this.controlPort}`,
-        'exchange-port': String(await freePort()),
+        'exchange-port': String(this.exchangePort),
         source,
         'first-start': String(options.isFirstStart ?? true),
         'retry-ratio': '0.2',
