Let hosts of large zones learn of each other by digests

Cause: at 135 hosts in three zones, 45 of them knew no other host for as long as they ran, at 312 in five zones the hosts of a zone knew 22 of 62 on average (simulated time, test/exchange). A seed lists the first 40 hosts that it knows, so that the hosts of later zones are never told of each other. Change: a host of a zone of more than nine sends digests (state, and the age of the last sign of life of each neighbour) to three neighbours twice a second in place of heartbeats to all; a member that is unknown, or a larger zone size, makes it ask for the list, which comes in parts; members of other zones are sent by each host at times instead of through rebroadcasts. Zones of up to nine hosts do as before. Pulling moved to a class of its own. With 5% loss nobody is taken for dead in 20 s; deaths are known in 9 s.

--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -1,9 +1,10 @@
 import { type CatalogChanges, decodeChanges, encodeChanges, type Ledger } from '../catalog';
-import { type InFlightCounts, type TargetReport } from '../knowledge';
+import { identityKey, type InFlightCounts, isLargeZone, type TargetReport } from '../knowledge';
 import { type EventSink } from '../logging';
 import { type Clock, type Random, rendezvousChoice, runEvery } from '../runtime';
 import { type SourceState } from '../source';
 
+import { CatalogPuller } from './catalogPuller';
 import { MAX_DATAGRAM_BYTES, decodeMessage, encodeMessage } from './datagramCodec';
 import { type DatagramLink } from './datagramLink';
 import { EXCHANGE_EVENTS } from './events';
@@ -12,6 +13,7 @@
 import { heartbeatInterval, Membership } from './membership';
 import {
   type CrashNotice,
+  type Digest,
   type InFlightCountsMessage,
   type Heartbeat,
   type Message,
@@ -27,11 +29,6 @@
 // host.
 const JOIN_INTERVAL_MS = 100;
 const SEED_INTERVAL_MS = 1000;
-// The same changes usually arrive by broadcast before this delay ends.
-const PULL_DELAY_MS = 40;
-// Hosts that learn of a large change at the same time pull it one after the other, so that the link
-// of the first holder is not shared by all of them; the later ones find more holders.
-const PULL_SPREAD_MS_PER_HOST = 8;
 // A host that has pulled a change tells this many neighbours that it holds it too.
 const HOLDER_NOTICE_HOSTS = 8;
 
@@ -62,9 +59,18 @@
 }
 
 // A heartbeat with this many members still fits into a datagram of common size.
-const MAX_HEARTBEAT_MEMBERS = 40;
-// With more neighbours than this, the delegate sends to other zones half as often.
-const FULL_RATE_NEIGHBOURS = 16;
+const MAX_HEARTBEAT_MEMBERS = 24;
+// A host that replies with members lists this many of each zone other than that of the receiver.
+const OTHER_ZONE_MEMBERS = 4;
+// Hosts of a large zone send digests to this many neighbours at this interval.
+const DIGEST_FANOUT = 3;
+const DIGEST_INTERVAL_MS = 500;
+const MAX_DIGEST_MEMBERS = 100;
+// Interval at which a host of a large zone sends some members to one host of each other zone.
+const LARGE_ZONE_DELEGATE_INTERVAL_MS = 3000;
+const MIN_MEMBERS_REQUEST_INTERVAL_MS = 300;
+// A neighbour that counts this many times the hosts that this host knows can list the others.
+const ZONE_SIZE_GAP_FACTOR = 1.1;
 
 type MessageHandlers = {
   readonly [Kind in Message['kind']]: (
@@ -86,13 +92,14 @@
 
   private readonly cancelTimers: (() => void)[] = [];
 
-  private isPulling = false;
+  private readonly puller: CatalogPuller;
 
-  private isClosed = false;
+  private nextMembersRequestAt = 0;
 
   // A lookup table, as some hundred datagrams arrive each second.
   private readonly handlers: MessageHandlers = {
     heartbeat: (heartbeat, fromIp) => this.receiveHeartbeat(heartbeat, fromIp),
+    digest: (digest, fromIp) => this.receiveDigest(digest, fromIp),
     reports: (message) => {
       this.parts.onReports(message.reports);
       if (message.shouldRebroadcast) this.rebroadcast({ ...message, shouldRebroadcast: false });
@@ -113,6 +120,15 @@
 
   constructor(private readonly parts: ExchangeParts) {
     this.membership = new Membership(parts.clock, parts.self);
+    const { clock, random, ledger, self, pull } = parts;
+    this.puller = new CatalogPuller({
+      ...{ clock, random, ledger, pull, zone: self.zone, membership: this.membership },
+      onPulled: () =>
+        this.sendTo(
+          this.sample(this.membership.neighbours(), HOLDER_NOTICE_HOSTS),
+          this.heartbeat(),
+        ),
+    });
   }
 
   /** Starts sending heartbeats and receiving datagrams. */
@@ -133,13 +149,12 @@
           nextSeedContactAt = now + (isAlone ? JOIN_INTERVAL_MS : SEED_INTERVAL_MS);
         }
         if (now >= nextHeartbeatAt) {
-          nextHeartbeatAt = now + heartbeatInterval(neighbours.length + 1) - JOIN_INTERVAL_MS / 2;
-          this.sendTo(neighbours, this.heartbeat());
+          nextHeartbeatAt = now + this.sendLiveness(neighbours) - JOIN_INTERVAL_MS / 2;
         }
         if (now >= nextDelegateHeartbeatAt) {
-          nextDelegateHeartbeatAt =
-            now + DELEGATE_INTERVAL_MS * (neighbours.length > FULL_RATE_NEIGHBOURS ? 2 : 1);
-          if (this.isDelegate(neighbours)) this.sendMembersToOtherZones(neighbours);
+          nextDelegateHeartbeatAt = now + this.delegateInterval(neighbours);
+          if (isLargeZone(neighbours.length) || this.isDelegate(neighbours))
+            this.sendMembersToOtherZones(neighbours);
         }
       }),
     );
@@ -148,7 +163,7 @@
 
   /** Stops the heartbeats; the caller closes the link. */
   close(): void {
-    this.isClosed = true;
+    this.puller.close();
     for (const cancelTimer of this.cancelTimers) cancelTimer();
   }
 
@@ -212,7 +227,53 @@
     handle(message, fromIp);
   }
 
+  /** Tells neighbours that this host is alive; the time in milliseconds until the next one. */
+  private sendLiveness(neighbours: readonly KnownHost[]): number {
+    if (!isLargeZone(neighbours.length)) {
+      this.sendTo(neighbours, this.heartbeat());
+      return heartbeatInterval(neighbours.length + 1);
+    }
+    this.sendTo(this.sample(neighbours, DIGEST_FANOUT), this.digest());
+    return DIGEST_INTERVAL_MS;
+  }
+
+  private delegateInterval(neighbours: readonly KnownHost[]): number {
+    if (isLargeZone(neighbours.length)) return LARGE_ZONE_DELEGATE_INTERVAL_MS;
+    return DELEGATE_INTERVAL_MS;
+  }
+
+  private digest(): Digest {
+    const { host, asOf, newest, source, isLeaving, zoneSize, incarnation } = this.heartbeat();
+    const ages = this.sample([...this.membership.ages()], MAX_DIGEST_MEMBERS);
+    return {
+      kind: 'digest',
+      ...{ sender: identityKey(host[0]), incarnation, asOf, newest, source, isLeaving, zoneSize },
+      ages: new Map(ages),
+    };
+  }
+
+  private receiveDigest(digest: Digest, fromIp: string): void {
+    const lacking = this.membership.applyDigest(digest, fromIp);
+    if (lacking !== 'nothing' || this.isFarAhead(digest.zoneSize)) this.requestMembers(fromIp);
+    if (lacking !== 'sender') this.puller.check();
+  }
+
+  private isFarAhead(zoneSize: number): boolean {
+    const known = this.membership.neighbours().length + 1;
+    return isLargeZone(zoneSize - 1) && zoneSize > known * ZONE_SIZE_GAP_FACTOR + 1;
+  }
+
+  private requestMembers(ip: string): void {
+    const now = this.parts.clock.now();
+    if (now < this.nextMembersRequestAt) return;
+    this.nextMembersRequestAt = now + MIN_MEMBERS_REQUEST_INTERVAL_MS;
+    this.send(ip, this.heartbeat({ shouldReplyWithMembers: true }));
+  }
+
+  // In a large zone, members of other zones are sent to each host at times instead.
   private rebroadcast(message: Message): void {
+    const isForLargeZone = isLargeZone(this.membership.neighbours().length);
+    if (isForLargeZone && (message.kind === 'heartbeat' || message.kind === 'reports')) return;
     this.sendTo(this.membership.neighbours(), message);
   }
 
@@ -223,13 +284,10 @@
     const [id, zone, ip] = heartbeat.host;
     if (isNew) this.parts.events.emit(EXCHANGE_EVENTS.hostDiscovered, { peer: id, zone });
     if (heartbeat.members !== undefined) this.applyMembers(heartbeat);
-    if (heartbeat.shouldReplyWithMembers || (isNew && zone === self.zone)) {
-      this.send(
-        ip,
-        this.heartbeat({ members: this.listMembers(heartbeat.shouldReplyWithMembers === true) }),
-      );
-    }
-    if (this.isAhead(heartbeat)) this.schedulePull();
+    if (heartbeat.shouldReplyWithMembers) this.replyWithMembers(ip, zone);
+    else if (isNew && zone === self.zone) this.introduce(ip);
+    if (zone === self.zone && this.isFarAhead(heartbeat.zoneSize)) this.requestMembers(ip);
+    this.puller.check();
   }
 
   private applyMembers(heartbeat: Heartbeat): void {
@@ -245,12 +303,24 @@
     }
   }
 
-  private listMembers(shouldListAllZones: boolean): readonly (readonly [string, string, string])[] {
-    const { self } = this.parts;
-    const hosts = shouldListAllZones
-      ? this.membership.live()
-      : this.membership.live().filter((host) => host.zone === self.zone);
-    return hosts.slice(0, MAX_HEARTBEAT_MEMBERS).map(addressOf);
+  // In a large zone a new host asks one of its neighbours for the others; if all of them listed each
+  // other, a start of the zone would take datagrams in proportion to its cube.
+  private introduce(ip: string): void {
+    const neighbours = this.membership.neighbours();
+    if (isLargeZone(neighbours.length)) this.send(ip, this.heartbeat());
+    else this.send(ip, this.heartbeat({ members: neighbours.map(addressOf) }));
+  }
+
+  private replyWithMembers(ip: string, zone: string): void {
+    const live = this.membership.live();
+    const others = this.parts.zones
+      .filter((other) => other !== zone)
+      .flatMap((other) => this.sample(this.membership.inZone(other), OTHER_ZONE_MEMBERS));
+    const members = [...live.filter((host) => host.zone === zone), ...others].map(addressOf);
+    for (let from = 0; from === 0 || from < members.length; from += MAX_HEARTBEAT_MEMBERS) {
+      const part = members.slice(from, from + MAX_HEARTBEAT_MEMBERS);
+      this.send(ip, this.heartbeat({ members: part }));
+    }
   }
 
   private heartbeat(extra: Partial<Heartbeat> = {}): Heartbeat {
@@ -278,7 +348,10 @@
       (zone) => zone !== self.zone && this.membership.inZone(zone).length === 0,
     );
     if (!isAlone && !isMissingZone) return;
-    for (const ip of contacted) this.send(ip, this.heartbeat({ shouldReplyWithMembers: true }));
+    // A neighbour may know hosts of the zone when the seed does not answer.
+    const asked = this.sample(this.membership.neighbours(), 1).map((host) => host.ip);
+    for (const ip of [...contacted, ...asked])
+      this.send(ip, this.heartbeat({ shouldReplyWithMembers: true }));
   }
 
   // During a network partition each side considers the other dead, and the seeds may be out of
@@ -302,12 +375,12 @@
     this.sendTo(this.chooseHostPerOtherZone('members'), this.heartbeat({ members }));
   }
 
-  private sample<Host extends HostAddress>(hosts: readonly Host[], count: number): readonly Host[] {
-    return hosts
-      .map((host) => ({ host, order: this.parts.random.next() }))
+  private sample<Item>(items: readonly Item[], count: number): readonly Item[] {
+    return items
+      .map((item) => ({ item, order: this.parts.random.next() }))
       .sort((left, right) => left.order - right.order)
       .slice(0, count)
-      .map(({ host }) => host);
+      .map(({ item }) => item);
   }
 
   private chooseHostPerOtherZone(purpose: string): readonly HostAddress[] {
@@ -332,47 +405,6 @@
     return chosen;
   }
 
-  private isAhead({ asOf, newest }: Pick<KnownHost, 'asOf' | 'newest'>): boolean {
-    const { ledger } = this.parts;
-    return asOf > ledger.catalog().asOf || newest > ledger.newestRevision();
-  }
-
-  private schedulePull(): void {
-    if (this.isPulling || this.isClosed) return;
-    this.isPulling = true;
-    const { clock, random } = this.parts;
-    const spreadMs = this.membership.neighbours().length * PULL_SPREAD_MS_PER_HOST;
-    clock.setTimer(clock.now() + PULL_DELAY_MS + spreadMs * random.next(), () => {
-      void this.pull();
-    });
-  }
-
-  // Pulls until no live host is ahead: a holder may fail, or be busy serving others.
-  private async pull(): Promise<void> {
-    const holder = this.chooseHolder();
-    if (holder !== null) {
-      const changes = await this.parts.pull(holder, this.parts.ledger.catalog().asOf);
-      if (changes !== null) {
-        this.parts.ledger.apply(changes);
-        this.sendTo(
-          this.sample(this.membership.neighbours(), HOLDER_NOTICE_HOSTS),
-          this.heartbeat(),
-        );
-      }
-    }
-    this.isPulling = false;
-    if (this.chooseHolder() !== null) this.schedulePull();
-  }
-
-  /** A random live host that knows more than this one, of this zone if there is one. */
-  private chooseHolder(): KnownHost | null {
-    const { self, random } = this.parts;
-    const holders = this.membership.live().filter((host) => this.isAhead(host));
-    const near = holders.filter((host) => host.zone === self.zone);
-    const candidates = near.length > 0 ? near : holders;
-    return candidates.length === 0 ? null : candidates[random.integer(candidates.length)]!;
-  }
-
   private sendTo(hosts: readonly HostAddress[], message: Message): void {
     if (hosts.length === 0) return;
     const bytes = encodeMessage(message);
--- a/src/exchange/membership.ts
+++ b/src/exchange/membership.ts
@@ -1,14 +1,19 @@
+import { identityKey, isLargeZone } from '../knowledge';
 import { type Clock } from '../runtime';
 
 import { type HostAddress } from './hostAddress';
 import { type KnownHost } from './knownHost';
-import { type Heartbeat } from './message';
+import { type Digest, type Heartbeat } from './message';
 
 // A host of the same zone is considered dead after this many heartbeat intervals without a
 // heartbeat; another host then takes over its health checks and its reading of the source.
 const SAME_ZONE_TIMEOUT_HEARTBEATS = 4.5;
-// Hosts of other zones are listed by the delegates of their zones, which send less often.
+// In a large zone signs of life spread by digests, which takes a few seconds.
+const LARGE_ZONE_TIMEOUT_MS = 6000;
+// Hosts of other zones are listed by the delegates of their zones, which send less often, and in large
+// zones by some hosts at random.
 const CROSS_ZONE_TIMEOUT_MS = 3500;
+const LARGE_CROSS_ZONE_TIMEOUT_MS = 15_000;
 // Heartbeat interval in zones of up to FULL_RATE_ZONE_HOSTS hosts. Larger zones use a longer
 // interval, so that the bytes sent by a host do not grow with the size of its zone.
 const MIN_HEARTBEAT_INTERVAL_MS = 200;
@@ -32,6 +37,8 @@
 export class Membership {
   private readonly hosts = new Map<string, KnownHost>();
 
+  private readonly idsByKey = new Map<number, string>();
+
   private maxLiveHosts = 1;
 
   private liveHosts: readonly KnownHost[] = [];
@@ -56,6 +63,7 @@
     this.zoneSizes.set(zone, zoneSize);
     const known = this.hosts.get(id);
     const receivedAt = this.clock.now();
+    this.idsByKey.set(identityKey(id), id);
     this.hosts.set(id, {
       ...{ id, zone, ip, incarnation, asOf, newest, source, isLeaving, receivedAt },
       isDirect: true,
@@ -64,6 +72,36 @@
     return known === undefined || !known.isDirect || known.incarnation !== incarnation;
   }
 
+  /** Applies a received digest; what this host lacks to use it fully. */
+  applyDigest(digest: Digest, fromIp: string): 'nothing' | 'sender' | 'members' {
+    const now = this.clock.now();
+    const { incarnation, asOf, newest, source, isLeaving, zoneSize } = digest;
+    const sender = this.direct(digest.sender);
+    if (sender === undefined || sender.ip !== fromIp || sender.incarnation !== incarnation)
+      return 'sender';
+    const state = { asOf, newest, source, isLeaving };
+    this.hosts.set(sender.id, { ...sender, ...state, receivedAt: now });
+    this.zoneSizes.set(sender.zone, zoneSize);
+    let isComplete = true;
+    for (const [key, ageMs] of digest.ages) {
+      if (key === identityKey(this.self.id)) continue;
+      const host = this.direct(key);
+      if (host === undefined) isComplete = false;
+      else if (now - ageMs > host.receivedAt)
+        this.hosts.set(host.id, { ...host, receivedAt: now - ageMs });
+    }
+    this.updateMaxLiveHosts();
+    return isComplete ? 'nothing' : 'members';
+  }
+
+  /** Time since the last sign of life of each neighbour, by the key of its id. */
+  ages(): ReadonlyMap<number, number> {
+    const now = this.clock.now();
+    return new Map(
+      this.neighbours().map((host) => [identityKey(host.id), now - host.receivedAt] as const),
+    );
+  }
+
   /** Adds hosts that another host lists as live; returns those that were not live here. */
   addReportedHosts(members: readonly HostAddress[]): readonly HostAddress[] {
     const now = this.clock.now();
@@ -80,6 +118,7 @@
           source: 'idle' as const,
           isLeaving: false,
         };
+        this.idsByKey.set(identityKey(id), id);
         this.hosts.set(id, { id, zone, ip, ...base, receivedAt: now, isDirect: false });
       } else if (zone !== this.self.zone) this.hosts.set(id, { ...known, receivedAt: now });
     }
@@ -130,9 +169,15 @@
   }
 
   private isLive(host: KnownHost, now: number): boolean {
-    if (host.zone !== this.self.zone) return now - host.receivedAt < CROSS_ZONE_TIMEOUT_MS;
-    const zoneSize = Math.max(this.liveNeighbours.length + 1, this.zoneSizes.get(host.zone) ?? 0);
-    return now - host.receivedAt < SAME_ZONE_TIMEOUT_HEARTBEATS * heartbeatInterval(zoneSize);
+    const ageMs = now - host.receivedAt;
+    const neighbourCount = this.liveNeighbours.length;
+    if (host.zone !== this.self.zone) {
+      const isLarge = isLargeZone(neighbourCount) || isLargeZone(this.sizeOf(host.zone) - 1);
+      return ageMs < (isLarge ? LARGE_CROSS_ZONE_TIMEOUT_MS : CROSS_ZONE_TIMEOUT_MS);
+    }
+    const zoneSize = Math.max(neighbourCount + 1, this.sizeOf(host.zone));
+    if (isLargeZone(zoneSize - 1)) return ageMs < LARGE_ZONE_TIMEOUT_MS;
+    return ageMs < SAME_ZONE_TIMEOUT_HEARTBEATS * heartbeatInterval(zoneSize);
   }
 
   // The lists are cached: they are read for each report and each call, but change only a few times
@@ -147,6 +192,15 @@
     );
   }
 
+  private sizeOf(zone: string): number {
+    return this.zoneSizes.get(zone) ?? 0;
+  }
+
+  private direct(key: number): KnownHost | undefined {
+    const host = this.hosts.get(this.idsByKey.get(key) ?? '');
+    return host?.isDirect === true ? host : undefined;
+  }
+
   private updateMaxLiveHosts(): void {
     this.nextRefreshAt = 0;
     this.refresh();
--- a/src/exchange/message.ts
+++ b/src/exchange/message.ts
@@ -23,6 +23,24 @@
   readonly shouldReplyWithMembers?: boolean;
 }
 
+/**
+ * State of a host of a large zone, and how fresh the state of its neighbours is. Hosts send digests
+ * to a few neighbours in place of heartbeats to all of them.
+ */
+export interface Digest {
+  readonly kind: 'digest';
+  /** Key of the id of the sender. */
+  readonly sender: number;
+  readonly incarnation: number;
+  readonly asOf: number;
+  readonly newest: number;
+  readonly source: SourceState;
+  readonly isLeaving: boolean;
+  readonly zoneSize: number;
+  /** Time in milliseconds since the last sign of life of each neighbour, by the key of its id. */
+  readonly ages: ReadonlyMap<number, number>;
+}
+
 /** Recent observations of targets. */
 export interface ReportsMessage {
   readonly kind: 'reports';
@@ -57,4 +75,4 @@
 
 /** Any message between hosts. */
 export type Message =
-  Heartbeat | ReportsMessage | InFlightCountsMessage | ChangesMessage | CrashNotice;
+  Heartbeat | Digest | ReportsMessage | InFlightCountsMessage | ChangesMessage | CrashNotice;
--- a/src/exchange/packedCodec.ts
+++ b/src/exchange/packedCodec.ts
@@ -2,13 +2,15 @@
 
 import { type InFlightCounts, type TargetReport, type ObservationKind } from '../knowledge';
 
-import { type InFlightCountsMessage, type ReportsMessage } from './message';
+import { type SourceState } from '../source';
+
+import { type Digest, type InFlightCountsMessage, type ReportsMessage } from './message';
 
 /**
  * Messages in a binary encoding, as some hundred are sent each second; in JSON, ids and brackets
  * took 5/6 of their bytes.
  */
-export type PackedMessage = InFlightCountsMessage | ReportsMessage;
+export type PackedMessage = Digest | InFlightCountsMessage | ReportsMessage;
 
 interface PackedCodec<Kind extends PackedMessage> {
   /** First byte of the message; part of the wire format. */
@@ -34,6 +36,12 @@
   'lost',
 ];
 
+// The index of a state is its value on the wire.
+const SOURCE_STATES: readonly SourceState[] = ['idle', 'reading', 'failing'];
+
+// Ages in digests are sent in units that are fine compared with the liveness timeout.
+const DIGEST_AGE_UNIT_MS = 50;
+
 // Optional numbers are sent incremented by one; 0 stands for null.
 function writeOptional(writer: BinaryWriter, value: number | null): void {
   writer.uint32(value === null ? 0 : Math.max(0, Math.round(value)) + 1);
@@ -84,6 +92,39 @@
   return { host, sequence, calls };
 }
 
+function writeDigest(writer: BinaryWriter, digest: Digest): void {
+  writer.fixed32(digest.sender);
+  writer.uint32(digest.incarnation);
+  writer.uint64(digest.asOf);
+  writer.uint64(digest.newest);
+  writer.uint32(SOURCE_STATES.indexOf(digest.source));
+  writer.bool(digest.isLeaving);
+  writer.uint32(digest.zoneSize);
+  writer.uint32(digest.ages.size);
+  for (const [host, ageMs] of digest.ages) {
+    writer.fixed32(host);
+    writer.uint32(Math.round(Math.max(0, ageMs) / DIGEST_AGE_UNIT_MS));
+  }
+}
+
+function readDigest(reader: BinaryReader): Digest {
+  const sender = reader.fixed32();
+  const incarnation = reader.uint32();
+  const asOf = Number(reader.uint64());
+  const newest = Number(reader.uint64());
+  const source = SOURCE_STATES[reader.uint32()];
+  if (source === undefined) throw new RangeError('digest has an unknown source state');
+  const isLeaving = reader.bool();
+  const zoneSize = reader.uint32();
+  const ages = new Map<number, number>();
+  for (let remaining = reader.uint32(); remaining > 0; remaining -= 1)
+    ages.set(reader.fixed32(), reader.uint32() * DIGEST_AGE_UNIT_MS);
+  return {
+    kind: 'digest',
+    ...{ sender, incarnation, asOf, newest, source, isLeaving, zoneSize, ages },
+  };
+}
+
 function readItems<Item>(reader: BinaryReader, readItem: (from: BinaryReader) => Item): Item[] {
   const items: Item[] = [];
   for (let remaining = reader.uint32(); remaining > 0; remaining -= 1) items.push(readItem(reader));
@@ -116,6 +157,11 @@
       reports: readItems(reader, readReport),
     }),
   },
+  digest: {
+    tag: 3,
+    encode: (digest, writer) => writeDigest(writer, digest),
+    decode: (reader) => readDigest(reader),
+  },
 };
 
 /** Encodes a packed message: tag, protocol version, whether it is rebroadcast, then its items. */
@@ -125,7 +171,7 @@
   writer
     .uint32(codec.tag)
     .uint32(version)
-    .bool(message.shouldRebroadcast === true);
+    .bool('shouldRebroadcast' in message && message.shouldRebroadcast === true);
   codec.encode(message, writer);
   return Buffer.from(writer.finish());
 }
--- a/test/exchange/exchange.test.ts
+++ b/test/exchange/exchange.test.ts
@@ -32,13 +32,22 @@
 }
 
 describe('the exchange between hosts', () => {
-  // Guards against hosts that fail to find each other because seeds are out of date.
-  it.each([3, 17, 33, 113])('lets %d hosts find each other from one live seed', async (size) => {
-    const network = build(size, size);
+  // Guards against hosts that fail to find each other because seeds are out of date, or because the
+  // members of a large fleet do not fit into one reply.
+  it.each([
+    [3, 3],
+    [17, 3],
+    [33, 3],
+    [113, 3],
+    [135, 3],
+    [312, 5],
+  ])('lets %d hosts in %d zones find each other from one live seed', async (size, zoneCount) => {
+    const zones = ZONES.slice(0, zoneCount);
+    const network = build(size, size, zones);
     await network.advance(2500);
     expect(hasConverged(network)).toBe(true);
     for (const host of network.liveHosts()) {
-      for (const zone of ZONES.slice(0, 3)) {
+      for (const zone of zones) {
         if (zone !== host.address.zone) {
           expect(host.exchange.membership.inZone(zone).length).toBeGreaterThan(0);
         }
@@ -46,6 +55,21 @@
     }
   });
 
+  // Guards against a host of a large zone that is believed dead while it lives, or alive long after its
+  // death: signs of life reach most hosts only through others, and datagrams are lost.
+  it('knows the live hosts of a large zone, and no others, despite packet loss', async () => {
+    const network = build(140, 7, ZONES.slice(0, 2));
+    await network.advance(3000);
+    network.lossRatio = 0.05;
+    for (let check = 0; check < 20; check += 1) {
+      await network.advance(1000);
+      expect(hasConverged(network)).toBe(true);
+    }
+    for (let index = 0; index < 140; index += 10) network.kill(`host-${index}`);
+    await network.advance(9000);
+    expect(hasConverged(network)).toBe(true);
+  }, 60_000);
+
   // Guards against a target that has two probers, or none, for more than a second after a host
   // died.
   it('agrees on the prober of each target within a second of a death', async () => {
