Share out the targets of a large zone among its hosts

Cause: reports of each target went to all hosts of a zone, each host checked each new target of the fleet by itself until it was confirmed, and used all targets, at two calls a second: a connection for nearly each call, and datagrams in proportion to the square of the zone. Change: in zones of more than nine hosts each target has a few users, by rendezvous hashing (three targets of a service a host on average, three users a target at least). Reports of a target go to its users; only these check it when it may be lost; a call is placed among the preferred targets and, when none of them has room, among a sample of the others too. Reports do not leave a large zone. Health checks follow the objective up to 400 ms; status and placement lines name preferred targets.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -18,6 +18,7 @@
   identityKey,
   isLargeZone,
   TargetStatisticsTable,
+  TargetSubsets,
   ReportBroadcaster,
   type TargetReport,
   WorkEstimates,
@@ -81,6 +82,8 @@
 
   private readonly reportBroadcaster: ReportBroadcaster;
 
+  private readonly subsets: TargetSubsets;
+
   private readonly probes: ProbeTable;
 
   private readonly delivery: Delivery;
@@ -110,6 +113,11 @@
     this.targetConditions = new TargetConditionLog(clock, this.targetStates, events);
     this.crashTable = new CrashTable(clock);
     this.exchange = this.makeExchange(link);
+    this.subsets = new TargetSubsets({
+      hostId: settings['host-id'],
+      zone: settings.zone,
+      hosts: () => this.stayingZoneHosts(),
+    });
     this.reportBroadcaster = new ReportBroadcaster(clock, {
       broadcastReports: (reports, isCrossZone) =>
         this.exchange.broadcastReports(reports, isCrossZone),
@@ -128,7 +136,10 @@
         onReport: (report) => this.applyAndBroadcast(report),
         onProbe: () => metrics.increment(BALANCER_METRICS.probes),
       },
-      { hostId: settings['host-id'], hostsOf: (zone) => this.probingHosts(zone) },
+      {
+        isProber: (target) => this.subsets.isProber(target.id),
+        isUser: (target) => this.subsets.has(target.id),
+      },
     );
     const work = new WorkEstimates();
     const lastSlotSlowdowns = new LastSlotSlowdowns();
@@ -142,6 +153,7 @@
         targetStates: this.targetStates,
         zone: settings.zone,
       },
+      isPreferred: (target) => this.subsets.has(target.id),
       isConnected: (target) => this.delivery.isConnected(target),
       coldShare: (target, rate) =>
         coldShare(target.id, target.zone === settings.zone, rate, this.fleetSize()),
@@ -232,6 +244,7 @@
           clock,
           catalog: this.ledger.catalog(),
           targetStates: this.targetStates,
+          subsets: this.subsets,
           hosts: this.exchange.membership.live(),
           source: { state: this.reader.state(), lastAnswerAt: this.reader.lastAnswerAt() },
           isReady: this.isReady(),
@@ -281,6 +294,7 @@
     const { events } = this.parts;
     this.ledger.onChange((catalog) => {
       this.targetStates.applyCatalog(catalog);
+      this.subsets.applyCatalog(catalog);
       this.delivery.applyCatalog(catalog);
       this.probes.applyCatalog(catalog);
       this.calls.applyCatalog(catalog);
@@ -342,6 +356,7 @@
       seeds: () => this.parts.seeds().map(ipOf),
       sourceState: () => this.reader.state(),
       isLeaving: () => this.isStopping,
+      sharersOf: (target) => this.subsets.sharersOf(target),
       pull: (host, after) => this.pull(host, after),
       onReports: (reports) => {
         for (const report of reports) this.applyReport(report);
@@ -383,14 +398,10 @@
     this.targetConditions.update(report.target);
   }
 
-  private probingHosts(zone: string): readonly string[] {
-    const { settings } = this.parts;
-    const isOwnZone = zone === settings.zone;
-    // Only hosts in the zone of a target send health checks to it.
-    if (!isOwnZone) return [];
+  /** The hosts of this zone that are not leaving, and this one. */
+  private stayingZoneHosts(): readonly string[] {
     const others = this.exchange.membership.neighbours().filter((host) => !host.isLeaving);
-    const ids = others.map((host) => host.id);
-    return [...ids, settings['host-id']].sort();
+    return [...others.map((host) => host.id), this.parts.settings['host-id']];
   }
 
   private fleetSize() {
@@ -416,6 +427,7 @@
       metrics.timing(BALANCER_METRICS.loopDelay, Math.max(0, clock.now() - expectedAt));
       this.inFlightCounts.removeExpired();
       this.inFlightBroadcaster.refresh();
+      if (this.subsets.refresh()) this.probes.assign();
       this.probes.tick();
       metrics.gauge(BALANCER_METRICS.hosts, this.exchange.membership.live().length);
       metrics.gauge(BALANCER_METRICS.asOf, this.ledger.catalog().asOf);
--- a/src/balancer/describeBalancer.ts
+++ b/src/balancer/describeBalancer.ts
@@ -1,6 +1,6 @@
 import { type Catalog } from '../catalog';
 import { type KnownHost } from '../exchange';
-import { type TargetStatisticsTable } from '../knowledge';
+import { type TargetStatisticsTable, type TargetSubsets } from '../knowledge';
 import { type Clock } from '../runtime';
 import { type BalancerSettings } from '../settings';
 import { type SourceState } from '../source';
@@ -11,6 +11,7 @@
   readonly clock: Clock;
   readonly catalog: Catalog;
   readonly targetStates: TargetStatisticsTable;
+  readonly subsets: TargetSubsets;
   readonly hosts: readonly KnownHost[];
   readonly source: { readonly state: SourceState; readonly lastAnswerAt: number };
   readonly isReady: boolean;
@@ -25,12 +26,13 @@
  * milliseconds, null for what was never received.
  */
 export function describeBalancer(input: StatusInput) {
-  const { settings, clock, catalog, targetStates, hosts, source, isReady } = input;
+  const { settings, clock, catalog, targetStates, subsets, hosts, source, isReady } = input;
   const now = clock.now();
   return {
     host: settings['host-id'],
     zone: settings.zone,
     isReady,
+    sharesOutTargets: subsets.isActive(),
     catalog: {
       asOf: catalog.asOf,
       version: catalog.configuration?.version ?? null,
@@ -52,6 +54,8 @@
         service: target.service,
         zone: target.zone,
         state: target.state,
+        isPreferred: subsets.has(target.id),
+        isChecked: subsets.isProber(target.id),
         pace: targetState?.pace ?? null,
         paceAge: targetState === undefined ? null : age(now, targetState.paceAt),
         load: targetState === undefined ? null : targetStates.load(targetState),
--- a/src/delivery/index.ts
+++ b/src/delivery/index.ts
@@ -14,7 +14,7 @@
 export { CallRun } from './callRun';
 export { type CallEnd } from './callEnd';
 export { CallServer, type CallObserver } from './callServer';
-export { ProbeTable, type ProbingHosts } from './probeTable';
+export { ProbeTable, type ProbeAssignment } from './probeTable';
 export { type ProbeParts } from './probeTask';
 export { WeightedRoundRobin } from './weightedRoundRobin';
 export { DELIVERY_EVENTS } from './events';
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -2,6 +2,7 @@
 import {
   isUnchecked,
   type LastSlotSlowdowns,
+  type TargetStatistics,
   type TargetStatisticsTable,
   type WorkEstimates,
 } from '../knowledge';
@@ -18,6 +19,11 @@
 
 import { type IncomingCall } from './incomingCall';
 
+// Targets beyond the preferred ones that a call is placed among when none of these has room.
+const MIN_SAMPLED_TARGETS = 4;
+const MAX_SAMPLED_TARGETS = 12;
+// By then the first health check of a new target has ended.
+const FIRST_CHECK_TIME_MS = 1000;
 // The slowdown of a full target is sampled only while its pace is at most this.
 const STEADY_PACE_PERCENT = 120;
 
@@ -39,6 +45,8 @@
   readonly targetStates: TargetStatisticsTable;
   readonly work: WorkEstimates;
   readonly lastSlotSlowdowns: LastSlotSlowdowns;
+  /** Whether this host uses the target before others; the hosts of a large zone share them out. */
+  readonly isPreferred: (target: Target) => boolean;
   /** Whether there is an idle connection to the target. */
   readonly isConnected: (target: Target) => boolean;
   /** Calls per second that this host may send to a cold target, out of `rate` for all hosts. */
@@ -73,13 +81,36 @@
    */
   place(call: IncomingCall, used: ReadonlySet<string>, mayWait: boolean): Placement {
     const targets = this.usableTargets(call.service, used);
-    const candidates = targets.map((target) => this.toCandidate(target));
+    const preferred = targets.filter((target) => this.parts.isPreferred(target));
     const requirements = this.requirementsOf(call, mayWait);
+    const placement = this.placeAmong(preferred, call, requirements);
+    const isSettled = placement.kind === 'send' && placement.hasRoom;
+    if (isSettled || preferred.length === targets.length) return placement;
+    return this.placeAmong(this.widen(preferred, targets), call, requirements);
+  }
+
+  private placeAmong(
+    targets: readonly Target[],
+    call: IncomingCall,
+    requirements: CallRequirements,
+  ): Placement {
+    const candidates = targets.map((target) => this.toCandidate(target));
     const placement = chooseTarget(candidates, requirements, this.parts.random);
     if (placement.kind !== 'wait') return placement;
     return this.placeCold(call, candidates, requirements) ?? placement;
   }
 
+  // Adds a random sample of the other targets, those of this zone before those of others.
+  private widen(preferred: readonly Target[], targets: readonly Target[]): readonly Target[] {
+    const { random, zone } = this.parts;
+    const others = targets.filter((target) => !this.parts.isPreferred(target));
+    const near = others.filter((target) => target.zone === zone);
+    const pool = near.length >= MIN_SAMPLED_TARGETS ? near : others;
+    const first = pool.length <= MAX_SAMPLED_TARGETS ? 0 : random.integer(pool.length);
+    const sample = [...pool.slice(first), ...pool.slice(0, first)].slice(0, MAX_SAMPLED_TARGETS);
+    return [...preferred, ...sample];
+  }
+
   /** Estimated service time of a call, in milliseconds. */
   usualWorkMs(call: IncomingCall): number {
     return this.parts.work.get(workKeyOf(call), call.route.latencyObjectiveMs);
@@ -147,8 +178,10 @@
     const target = placement.kind === 'send' ? placement.target : placement.best;
     const targetState = target === null ? undefined : this.parts.targetStates.get(target);
     if (targetState === undefined) return common;
+    const published = this.parts.catalog().targets.get(targetState.id);
     return {
       ...common,
+      isPreferred: published !== undefined && this.parts.isPreferred(published),
       slots: targetState.slots,
       pace: targetState.pace,
       paceAge: Math.round(now - targetState.paceAt),
@@ -181,11 +214,18 @@
       isUnhealthy: targetState.isUnhealthy,
       isConnected: this.parts.isConnected(target),
       isCold: targetState.coldUntil > now,
-      isUnconfirmed: targetState.lostAt > targetState.confirmedHealthyAt,
+      isUnconfirmed: this.isUnconfirmed(target, targetState, now),
       isUnchecked: isUnchecked(targetState),
     };
   }
 
+  // Other hosts check the targets that are not preferred, and tell only a loss.
+  private isUnconfirmed(target: Target, targetState: TargetStatistics, now: number): boolean {
+    if (!this.parts.isPreferred(target) && isUnchecked(targetState))
+      return now - targetState.announcedAt < FIRST_CHECK_TIME_MS;
+    return targetState.lostAt > targetState.confirmedHealthyAt;
+  }
+
   private requirementsOf(call: IncomingCall, mayWait: boolean): CallRequirements {
     const now = this.parts.clock.now();
     const { route } = call;
--- a/src/delivery/probeTable.ts
+++ b/src/delivery/probeTable.ts
@@ -1,5 +1,5 @@
 import { type Catalog, type Target } from '../catalog';
-import { proberOf, type TargetStatistics } from '../knowledge';
+import { type TargetStatistics } from '../knowledge';
 
 import { type ProbeParts, ProbeTask } from './probeTask';
 
@@ -12,11 +12,12 @@
   nextCheckAt: number;
 }
 
-/** The hosts among which the targets are assigned for probing. */
-export interface ProbingHosts {
-  readonly hostId: string;
-  /** The live hosts that may probe targets of a zone, this host included, in a stable order. */
-  hostsOf(zone: string): readonly string[];
+/** Which targets this host checks. */
+export interface ProbeAssignment {
+  /** Whether this host checks the target regularly. */
+  isProber(target: Target): boolean;
+  /** Whether this host checks the target when it may be unreachable. */
+  isUser(target: Target): boolean;
 }
 
 function isUnconfirmed(targetState: TargetStatistics): boolean {
@@ -27,11 +28,9 @@
 export class ProbeTable {
   private readonly entries = new Map<string, ProbeEntry>();
 
-  private assignmentKey = '';
-
   constructor(
     private readonly parts: ProbeParts,
-    private readonly hosts: ProbingHosts,
+    private readonly assignment: ProbeAssignment,
   ) {}
 
   /** Starts and stops tasks as targets are added, restarted and removed. */
@@ -44,30 +43,26 @@
       entry?.task.close();
       const task = new ProbeTask(target, this.parts);
       this.entries.set(target.id, { target, task, nextCheckAt: 0 });
-      this.assignmentKey = '';
     }
     for (const [id, entry] of this.entries) {
       if (catalog.targets.has(id)) continue;
       entry.task.close();
       this.entries.delete(id);
     }
+    this.assign();
     this.tick();
   }
 
-  /** Reassigns targets to the live hosts and probes unconfirmed targets; to be called regularly. */
+  /** Assigns all targets anew; to be called after the hosts of the zone have changed. */
+  assign(): void {
+    for (const { target, task } of this.entries.values())
+      task.setProber(this.assignment.isProber(target));
+  }
+
+  /** Probes unconfirmed targets; to be called regularly. */
   tick(): void {
-    const zones = new Map<string, readonly string[]>();
-    for (const { target } of this.entries.values()) {
-      if (!zones.has(target.zone)) zones.set(target.zone, this.hosts.hostsOf(target.zone));
-    }
-    const key = [...zones].map(([zone, hosts]) => `${zone}:${hosts.join()}`).join(' ');
-    if (key !== this.assignmentKey) {
-      this.assignmentKey = key;
-      for (const { target, task } of this.entries.values()) {
-        task.setProber(proberOf(target, zones.get(target.zone)!) === this.hosts.hostId);
-      }
-    }
-    for (const id of this.entries.keys()) this.confirmIfNeeded(id);
+    for (const [id, { target }] of this.entries)
+      if (this.assignment.isUser(target)) this.confirmIfNeeded(id);
   }
 
   /** Probes a target that may be unreachable, limited to one probe per interval. */
--- a/src/delivery/probeTask.ts
+++ b/src/delivery/probeTask.ts
@@ -10,7 +10,7 @@
 // objectives tolerate older state, so their targets are probed less often.
 const PROBE_SHARE_OF_OBJECTIVE = 0.18;
 const MIN_PROBE_INTERVAL_MS = 45;
-const MAX_PROBE_INTERVAL_MS = 90;
+const MAX_PROBE_INTERVAL_MS = 400;
 // A probe is skipped when the state of the target was updated within this share of the interval.
 const FRESH_INTERVAL_SHARE = 2 / 3;
 
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -47,6 +47,8 @@
   readonly seeds: () => readonly string[];
   readonly sourceState: () => SourceState;
   readonly isLeaving: () => boolean;
+  /** Hosts of this zone that use a target; null when all of them do. */
+  readonly sharersOf: (target: string) => readonly string[] | null;
   /** Reads the changes after a revision from another host; null when the request fails. */
   readonly pull: (host: HostAddress, after: number) => Promise<CatalogChanges | null>;
   readonly onReports: (reports: readonly TargetReport[]) => void;
@@ -191,12 +193,32 @@
   /** Sends reports to the zone; with `isCrossZone`, to one host of each other zone instead. */
   broadcastReports(reports: readonly TargetReport[], isCrossZone: boolean): void {
     if (reports.length === 0) return;
+    if (!isCrossZone && this.parts.sharersOf(reports[0]!.target) !== null) {
+      this.sendToSharers(reports);
+      return;
+    }
     const message: ReportsMessage = { kind: 'reports', reports };
     if (isCrossZone)
       this.sendTo(this.chooseHostPerOtherZone('reports'), { ...message, shouldRebroadcast: true });
     else this.sendTo(this.membership.neighbours(), message);
   }
 
+  // Each host gets the reports of the targets that it uses.
+  private sendToSharers(reports: readonly TargetReport[]): void {
+    const reportsByHost = new Map<string, TargetReport[]>();
+    for (const report of reports) {
+      for (const host of this.parts.sharersOf(report.target) ?? []) {
+        const known = reportsByHost.get(host);
+        if (known === undefined) reportsByHost.set(host, [report]);
+        else known.push(report);
+      }
+    }
+    for (const host of this.membership.neighbours()) {
+      const used = reportsByHost.get(host.id);
+      if (used !== undefined) this.sendTo([host], { kind: 'reports', reports: used });
+    }
+  }
+
   /**
    * Sends in-flight counts to the zone; with `isCrossZone`, to one host of each other zone instead.
    */
--- a/src/knowledge/index.ts
+++ b/src/knowledge/index.ts
@@ -7,6 +7,6 @@
 export { InFlightTable } from './inFlightTable';
 export { InFlightBroadcaster, type InFlightSink } from './inFlightBroadcaster';
 export { ReportBroadcaster, type ReportSink } from './reportBroadcaster';
-export { proberOf } from './proberOf';
+export { TargetSubsets, type ZoneView } from './targetSubsets';
 export { LastSlotSlowdowns } from './lastSlotSlowdowns';
 export { WorkEstimates } from './workEstimates';
--- a/src/knowledge/reportBroadcaster.ts
+++ b/src/knowledge/reportBroadcaster.ts
@@ -1,5 +1,6 @@
 import { type Clock, type Timer } from '../runtime';
 
+import { isLargeZone } from './largeZone';
 import { type TargetReport } from './targetReport';
 
 // A change is sent to the zone within this time. Beyond REFERENCE_NEIGHBOURS the delay grows faster
@@ -17,6 +18,8 @@
 // A pace that changed by less than this factor is sent only at the refresh interval.
 const PACE_CHANGE_FACTOR = 1.2;
 const REFRESH_INTERVAL_MS = 250;
+// In a large zone the calls to a target change more slowly than its health checks come.
+const LARGE_ZONE_REFRESH_INTERVAL_MS = 400;
 
 interface SentPace {
   readonly pace: number;
@@ -72,7 +75,8 @@
       this.sameZoneTimer = null;
       this.flush(this.sameZonePending, false);
     });
-    if (!this.mustReportCrossZone(report)) return;
+    // Hosts of a large zone use its own targets, so that no other zone needs the report.
+    if (isLargeZone(this.sink.neighbourCount()) || !this.mustReportCrossZone(report)) return;
     this.crossZonePending.set(batchKey(report), pending);
     this.crossZoneTimer ??= this.clock.setTimer(now + CROSS_ZONE_BATCH_MS, () => {
       this.crossZoneTimer = null;
@@ -85,6 +89,12 @@
     return Math.min(MAX_ZONE_BATCH_MS, ZONE_BATCH_MS * scaleFactor ** BATCH_SCALE_EXPONENT);
   }
 
+  private refreshInterval(): number {
+    return isLargeZone(this.sink.neighbourCount())
+      ? LARGE_ZONE_REFRESH_INTERVAL_MS
+      : REFRESH_INTERVAL_MS;
+  }
+
   private mustReportToZone(report: TargetReport, now: number): boolean {
     if (report.observation !== 'answer' && report.observation !== 'probe') return true;
     const last = this.lastSameZonePace.get(report.target);
@@ -92,7 +102,7 @@
     if (last !== undefined) {
       const ratio = pace / last.pace;
       const isSamePace = ratio < PACE_CHANGE_FACTOR && ratio > 1 / PACE_CHANGE_FACTOR;
-      if (isSamePace && now - last.at < REFRESH_INTERVAL_MS) return false;
+      if (isSamePace && now - last.at < this.refreshInterval()) return false;
     }
     this.lastSameZonePace.set(report.target, { pace, at: now });
     return true;
--- /dev/null
+++ b/src/knowledge/targetSubsets.ts
@@ -0,0 +1,111 @@
+import { type Catalog, type Target } from '../catalog';
+import { rendezvousScore } from '../runtime';
+
+import { isLargeZone } from './largeZone';
+
+// Targets of each service that a host of a large zone uses, on average.
+const TARGETS_PER_HOST = 3;
+// Hosts that share a target at least, so that it is used while one of them stops or dies.
+const MIN_SHARERS = 3;
+
+/** The host itself and its view of its zone. */
+export interface ZoneView {
+  readonly hostId: string;
+  readonly zone: string;
+  /** Live hosts of the zone that are not leaving, and this host. */
+  readonly hosts: () => readonly string[];
+}
+
+/**
+ * Which hosts share a target. In a large zone each target of the zone is used by a few hosts, chosen
+ * by rendezvous hashing: only these need each other's reports of it and keep connections to it. In a
+ * small zone all hosts use all targets.
+ */
+export class TargetSubsets {
+  private targets: readonly Target[] = [];
+
+  private hosts: readonly string[] = [];
+
+  private sharers = new Map<string, readonly string[]>();
+
+  private probers = new Map<string, string>();
+
+  private readonly scores = new Map<string, Map<string, number>>();
+
+  constructor(private readonly view: ZoneView) {
+    this.hosts = [view.hostId];
+  }
+
+  /** Applies a changed catalog. */
+  applyCatalog(catalog: Catalog): void {
+    this.targets = [...catalog.targets.values()].filter(({ zone }) => zone === this.view.zone);
+    for (const id of this.scores.keys()) if (!catalog.targets.has(id)) this.scores.delete(id);
+    this.assign();
+  }
+
+  /** Applies changes of the hosts of the zone, if there are any; called periodically. */
+  refresh(): boolean {
+    const hosts = [...this.view.hosts()].sort();
+    const isSame =
+      hosts.length === this.hosts.length && hosts.every((id, at) => id === this.hosts[at]);
+    if (isSame) return false;
+    this.hosts = hosts;
+    this.assign();
+    return true;
+  }
+
+  /** Whether the hosts of this zone share out the targets. */
+  isActive(): boolean {
+    return isLargeZone(this.hosts.length - 1);
+  }
+
+  /** Whether this host uses the target before others. */
+  has(target: string): boolean {
+    if (!this.isActive()) return true;
+    return this.sharers.get(target)?.includes(this.view.hostId) === true;
+  }
+
+  /** Whether this host checks the health of the target; one host of the target's zone does. */
+  isProber(target: string): boolean {
+    return this.probers.get(target) === this.view.hostId;
+  }
+
+  /** Hosts of this zone that use the target; null for all. */
+  sharersOf(target: string): readonly string[] | null {
+    return this.isActive() ? (this.sharers.get(target) ?? []) : null;
+  }
+
+  private assign(): void {
+    this.sharers = new Map();
+    this.probers = new Map();
+    const counts = new Map<string, number>();
+    for (const { service } of this.targets) counts.set(service, (counts.get(service) ?? 0) + 1);
+    for (const target of this.targets) {
+      const wanted = (TARGETS_PER_HOST * this.hosts.length) / counts.get(target.service)!;
+      const order = this.order(target.id);
+      this.probers.set(target.id, order[0]!);
+      this.sharers.set(target.id, order.slice(0, Math.max(MIN_SHARERS, Math.ceil(wanted))));
+    }
+  }
+
+  /** Hosts by descending rendezvous score for the target. */
+  private order(target: string): readonly string[] {
+    let scores = this.scores.get(target);
+    if (scores === undefined) {
+      scores = new Map();
+      this.scores.set(target, scores);
+    }
+    const scoreOf = (host: string) => {
+      let score = scores.get(host);
+      if (score === undefined) {
+        score = rendezvousScore(target, host);
+        scores.set(host, score);
+      }
+      return score;
+    };
+    return this.hosts
+      .map((host) => ({ host, score: scoreOf(host) }))
+      .sort((left, right) => right.score - left.score || (left.host < right.host ? -1 : 1))
+      .map(({ host }) => host);
+  }
+}
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -7,4 +7,4 @@
 export { runEvery } from './runEvery';
 export { type Random } from './random';
 export { SeededRandom } from './seededRandom';
-export { rendezvousChoice, rendezvousOrder } from './rendezvous';
+export { rendezvousChoice, rendezvousOrder, rendezvousScore } from './rendezvous';
--- a/src/runtime/rendezvous.ts
+++ b/src/runtime/rendezvous.ts
@@ -10,10 +10,15 @@
   return left.node < right.node ? -1 : 1;
 }
 
+/** Rendezvous weight of `node` for `key`; the highest one wins. */
+export function rendezvousScore(key: string, node: string): number {
+  return murmurHash(`${key}\u0000${node}`);
+}
+
 /** Orders `nodes` for `key` by rendezvous hashing (highest random weight first). */
 export function rendezvousOrder(key: string, nodes: readonly string[]): readonly string[] {
   return nodes
-    .map((node) => ({ node, score: murmurHash(`${key}\u0000${node}`) }))
+    .map((node) => ({ node, score: rendezvousScore(key, node) }))
     .sort(byScoreThenName)
     .map((scored) => scored.node);
 }
@@ -22,7 +27,7 @@
 export function rendezvousChoice(key: string, nodes: readonly string[]): string | undefined {
   let best: ScoredNode | undefined;
   for (const node of nodes) {
-    const scored = { node, score: murmurHash(`${key}\u0000${node}`) };
+    const scored = { node, score: rendezvousScore(key, node) };
     if (best === undefined || byScoreThenName(scored, best) < 0) best = scored;
   }
   return best?.node;
--- a/standins/fleet/fleetModel.ts
+++ b/standins/fleet/fleetModel.ts
@@ -1,6 +1,5 @@
 import { type Catalog } from '../../src/catalog';
-import { proberOf } from '../../src/knowledge';
-import { ManualClock, SeededRandom } from '../../src/runtime';
+import { ManualClock, rendezvousChoice, SeededRandom } from '../../src/runtime';
 
 import { ModelCallers } from './modelCallers';
 import { modelCatalog } from './modelCatalog';
@@ -136,7 +135,9 @@
     for (const model of this.targets.values()) {
       const sameZoneHosts = this.hosts.filter((host) => host.zone === model.target.zone);
       const ids = sameZoneHosts.map((host) => host.id);
-      const prober = sameZoneHosts.find((host) => host.id === proberOf(model.target, ids));
+      const prober = sameZoneHosts.find(
+        (host) => host.id === rendezvousChoice(model.target.id, ids),
+      );
       if (prober === undefined) continue;
       const probe = () => {
         const { running, waiting } = model.load();
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -84,6 +84,7 @@
       ...{ clock, random, catalog, zone, targetStates: this.targetStates },
       work: new WorkEstimates(),
       lastSlotSlowdowns: new LastSlotSlowdowns(),
+      isPreferred: () => true,
       isConnected: () => true,
       coldShare: () => 1,
     });
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -80,6 +80,7 @@
       seeds: this.seeds,
       sourceState: () => 'idle',
       isLeaving: () => false,
+      sharersOf: () => null,
       pull: (host, after) => this.pull(address, host, after),
       onReports: (received) => reports.push(...received),
       onInFlightCounts: (counts, shouldRebroadcast) => {
