Sort out targets once for each change, and send reports to few users quickly

Cause: each placement filtered and rated all targets of a service (up to 349 at the large site). In a large zone reports were still collected for as long as if they went to all hosts: 181 ms at 45 hosts, while the pace of a target changes each 300 ms there. Change: usable and preferred targets are sorted out once for each catalog and assignment; the delay of reports follows the number of hosts that they go to.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -122,6 +122,10 @@
       broadcastReports: (reports, isCrossZone) =>
         this.exchange.broadcastReports(reports, isCrossZone),
       neighbourCount: () => this.exchange.membership.neighbours().length,
+      receiverCount: () =>
+        this.subsets.isActive()
+          ? this.subsets.otherSharers()
+          : this.exchange.membership.neighbours().length,
     });
     this.inFlightBroadcaster = new InFlightBroadcaster(clock, settings['host-id'], {
       broadcastInFlightCounts: (counts, isCrossZone) =>
@@ -153,7 +157,7 @@
         targetStates: this.targetStates,
         zone: settings.zone,
       },
-      isPreferred: (target) => this.subsets.has(target.id),
+      preference: this.subsets,
       isConnected: (target) => this.delivery.isConnected(target),
       coldShare: (target, rate) =>
         coldShare(target.id, target.zone === settings.zone, rate, this.fleetSize()),
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -18,10 +18,8 @@
 import { type Clock, type Random } from '../runtime';
 
 import { type IncomingCall } from './incomingCall';
+import { TargetPool, type TargetPreference } from './targetPool';
 
-// Targets beyond the preferred ones that a call is placed among when none of these has room.
-const MIN_SAMPLED_TARGETS = 4;
-const MAX_SAMPLED_TARGETS = 12;
 // By then the first health check of a new target has ended.
 const FIRST_CHECK_TIME_MS = 1000;
 // The slowdown of a full target is sampled only while its pace is at most this.
@@ -46,7 +44,7 @@
   readonly work: WorkEstimates;
   readonly lastSlotSlowdowns: LastSlotSlowdowns;
   /** Whether this host uses the target before others; the hosts of a large zone share them out. */
-  readonly isPreferred: (target: Target) => boolean;
+  readonly preference: TargetPreference;
   /** Whether there is an idle connection to the target. */
   readonly isConnected: (target: Target) => boolean;
   /** Calls per second that this host may send to a cold target, out of `rate` for all hosts. */
@@ -61,6 +59,8 @@
 export class Placer {
   private readonly coldRateLimiter: ColdRateLimiter;
 
+  private readonly pool: TargetPool;
+
   private readonly waitQueues = new Map<string, WaitQueue>();
 
   private ranks: {
@@ -73,6 +73,7 @@
 
   constructor(private readonly parts: PlacerParts) {
     this.coldRateLimiter = new ColdRateLimiter(parts.clock);
+    this.pool = new TargetPool(parts.zone, parts.random, parts.preference);
   }
 
   /**
@@ -80,13 +81,15 @@
    * call that would be late at every target waits.
    */
   place(call: IncomingCall, used: ReadonlySet<string>, mayWait: boolean): Placement {
-    const targets = this.usableTargets(call.service, used);
-    const preferred = targets.filter((target) => this.parts.isPreferred(target));
+    const catalog = this.parts.catalog();
+    const isUnused = (target: Target) => !used.has(target.id);
+    const preferred = this.pool.preferred(catalog, call.service).filter(isUnused);
     const requirements = this.requirementsOf(call, mayWait);
     const placement = this.placeAmong(preferred, call, requirements);
-    const isSettled = placement.kind === 'send' && placement.hasRoom;
-    if (isSettled || preferred.length === targets.length) return placement;
-    return this.placeAmong(this.widen(preferred, targets), call, requirements);
+    if (placement.kind === 'send' && placement.hasRoom) return placement;
+    const others = this.pool.sampleOthers(catalog, call.service).filter(isUnused);
+    if (others.length === 0) return placement;
+    return this.placeAmong([...preferred, ...others], call, requirements);
   }
 
   private placeAmong(
@@ -100,17 +103,6 @@
     return this.placeCold(call, candidates, requirements) ?? placement;
   }
 
-  // Adds a random sample of the other targets, those of this zone before those of others.
-  private widen(preferred: readonly Target[], targets: readonly Target[]): readonly Target[] {
-    const { random, zone } = this.parts;
-    const others = targets.filter((target) => !this.parts.isPreferred(target));
-    const near = others.filter((target) => target.zone === zone);
-    const pool = near.length >= MIN_SAMPLED_TARGETS ? near : others;
-    const first = pool.length <= MAX_SAMPLED_TARGETS ? 0 : random.integer(pool.length);
-    const sample = [...pool.slice(first), ...pool.slice(0, first)].slice(0, MAX_SAMPLED_TARGETS);
-    return [...preferred, ...sample];
-  }
-
   /** Estimated service time of a call, in milliseconds. */
   usualWorkMs(call: IncomingCall): number {
     return this.parts.work.get(workKeyOf(call), call.route.latencyObjectiveMs);
@@ -178,10 +170,9 @@
     const target = placement.kind === 'send' ? placement.target : placement.best;
     const targetState = target === null ? undefined : this.parts.targetStates.get(target);
     if (targetState === undefined) return common;
-    const published = this.parts.catalog().targets.get(targetState.id);
     return {
       ...common,
-      isPreferred: published !== undefined && this.parts.isPreferred(published),
+      isPreferred: this.parts.preference.has(targetState.id),
       slots: targetState.slots,
       pace: targetState.pace,
       paceAge: Math.round(now - targetState.paceAt),
@@ -190,15 +181,6 @@
     };
   }
 
-  private usableTargets(service: string, used: ReadonlySet<string>): readonly Target[] {
-    const catalog = this.parts.catalog();
-    const targets = catalog.targetsByService.get(service) ?? [];
-    return targets.filter(
-      (target) =>
-        target.state === 'ready' && !catalog.zonesOut.has(target.zone) && !used.has(target.id),
-    );
-  }
-
   private toCandidate(target: Target): Candidate {
     const { clock, targetStates, zone } = this.parts;
     const targetState = targetStates.get(target.id)!;
@@ -221,7 +203,7 @@
 
   // Other hosts check the targets that are not preferred, and tell only a loss.
   private isUnconfirmed(target: Target, targetState: TargetStatistics, now: number): boolean {
-    if (!this.parts.isPreferred(target) && isUnchecked(targetState))
+    if (!this.parts.preference.has(target.id) && isUnchecked(targetState))
       return now - targetState.announcedAt < FIRST_CHECK_TIME_MS;
     return targetState.lostAt > targetState.confirmedHealthyAt;
   }
--- a/src/knowledge/reportBroadcaster.ts
+++ b/src/knowledge/reportBroadcaster.ts
@@ -3,11 +3,11 @@
 import { isLargeZone } from './largeZone';
 import { type TargetReport } from './targetReport';
 
-// A change is sent to the zone within this time. Beyond REFERENCE_NEIGHBOURS the delay grows faster
-// than the number of neighbours, so that a host sends fewer datagrams as its share of the calls
+// A change is sent to the zone within this time. Beyond REFERENCE_RECEIVERS the delay grows faster
+// than the number of receivers, so that a host sends fewer datagrams as its share of the calls
 // falls.
 const ZONE_BATCH_MS = 15;
-const REFERENCE_NEIGHBOURS = 6;
+const REFERENCE_RECEIVERS = 6;
 const BATCH_SCALE_EXPONENT = 1.25;
 const MAX_ZONE_BATCH_MS = 200;
 const CROSS_ZONE_BATCH_MS = 30;
@@ -35,6 +35,8 @@
 export interface ReportSink {
   broadcastReports(reports: readonly TargetReport[], isCrossZone: boolean): void;
   neighbourCount(): number;
+  /** Number of hosts that a report within the zone is sent to, on average. */
+  receiverCount(): number;
 }
 
 // A later load report of the same batch must not replace a failure or an unreachable target.
@@ -85,7 +87,7 @@
   }
 
   private zoneBatchMs(): number {
-    const scaleFactor = Math.max(1, this.sink.neighbourCount() / REFERENCE_NEIGHBOURS);
+    const scaleFactor = Math.max(1, this.sink.receiverCount() / REFERENCE_RECEIVERS);
     return Math.min(MAX_ZONE_BATCH_MS, ZONE_BATCH_MS * scaleFactor ** BATCH_SCALE_EXPONENT);
   }
 
--- a/src/knowledge/targetSubsets.ts
+++ b/src/knowledge/targetSubsets.ts
@@ -30,6 +30,10 @@
 
   private probers = new Map<string, string>();
 
+  private assignments = 0;
+
+  private meanOtherSharers = 0;
+
   private readonly scores = new Map<string, Map<string, number>>();
 
   constructor(private readonly view: ZoneView) {
@@ -59,6 +63,11 @@
     return isLargeZone(this.hosts.length - 1);
   }
 
+  /** Number of times that the targets were assigned. */
+  version(): number {
+    return this.assignments;
+  }
+
   /** Whether this host uses the target before others. */
   has(target: string): boolean {
     if (!this.isActive()) return true;
@@ -75,7 +84,13 @@
     return this.isActive() ? (this.sharers.get(target) ?? []) : null;
   }
 
+  /** Number of other hosts that use a target of this host, on average. */
+  otherSharers(): number {
+    return this.isActive() ? this.meanOtherSharers : this.hosts.length - 1;
+  }
+
   private assign(): void {
+    this.assignments += 1;
     this.sharers = new Map();
     this.probers = new Map();
     const counts = new Map<string, number>();
@@ -86,6 +101,13 @@
       this.probers.set(target.id, order[0]!);
       this.sharers.set(target.id, order.slice(0, Math.max(MIN_SHARERS, Math.ceil(wanted))));
     }
+    this.meanOtherSharers = this.averageOtherSharers();
+  }
+
+  private averageOtherSharers(): number {
+    const own = [...this.sharers.values()].filter((ids) => ids.includes(this.view.hostId));
+    const total = own.reduce((sum, ids) => sum + ids.length - 1, 0);
+    return own.length === 0 ? MIN_SHARERS - 1 : total / own.length;
   }
 
   /** Hosts by descending rendezvous score for the target. */
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -78,13 +78,14 @@
       broadcastReports: (reports, isCrossZone) =>
         environment.broadcastReports(reports, isCrossZone),
       neighbourCount,
+      receiverCount: neighbourCount,
     });
     const events = { emit: () => {} };
     const placer = new Placer({
       ...{ clock, random, catalog, zone, targetStates: this.targetStates },
       work: new WorkEstimates(),
       lastSlotSlowdowns: new LastSlotSlowdowns(),
-      isPreferred: () => true,
+      preference: { has: () => true, version: () => 0 },
       isConnected: () => true,
       coldShare: () => 1,
     });
--- a/test/knowledge/largeZone.test.ts
+++ b/test/knowledge/largeZone.test.ts
@@ -40,6 +40,7 @@
       if (!isCrossZone) sent += neighbours;
     },
     neighbourCount: () => neighbours,
+    receiverCount: () => neighbours,
   });
   for (let at = 0; at < 2000; at += 5) {
     clock.advanceTo(at);
