--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -16,7 +16,6 @@
   LastSlotSlowdowns,
   InFlightTable,
   identityKey,
-  isLargeZone,
   TargetStatisticsTable,
   TargetSubsets,
   ReportBroadcaster,
@@ -108,7 +107,7 @@
       clock,
       this.inFlightCounts,
       (...change) => this.inFlightBroadcaster.recordCalls(...change),
-      () => !isLargeZone(this.exchange.membership.neighbours().length),
+      (key) => this.subsets.hasInFlightBroadcasts(key),
     );
     this.targetConditions = new TargetConditionLog(clock, this.targetStates, events);
     this.crashTable = new CrashTable(clock);
@@ -131,6 +130,7 @@
       broadcastInFlightCounts: (counts, isCrossZone) =>
         this.exchange.broadcastInFlightCounts(counts, isCrossZone),
       neighbourCount: () => this.exchange.membership.neighbours().length,
+      hasInFlightBroadcasts: (key) => this.subsets.hasInFlightBroadcasts(key),
     });
     this.reader = this.makeReader();
     const onOpened = () => metrics.increment(BALANCER_METRICS.connections);
@@ -361,6 +361,7 @@
       sourceState: () => this.reader.state(),
       isLeaving: () => this.isStopping,
       sharersOf: (target) => this.subsets.sharersOf(target),
+      sharersOfKey: (key) => this.subsets.sharersOfKey(key),
       pull: (host, after) => this.pull(host, after),
       onReports: (reports) => {
         for (const report of reports) this.applyReport(report);
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -49,6 +49,8 @@
   readonly isLeaving: () => boolean;
   /** Hosts of this zone that use a target; null when all of them do. */
   readonly sharersOf: (target: string) => readonly string[] | null;
+  /** As `sharersOf`, by the key of the target's id. */
+  readonly sharersOfKey: (key: number) => readonly string[] | null;
   /** Reads the changes after a revision from another host; null when the request fails. */
   readonly pull: (host: HostAddress, after: number) => Promise<CatalogChanges | null>;
   readonly onReports: (reports: readonly TargetReport[]) => void;
@@ -85,6 +87,21 @@
   return [host.id, host.zone, host.ip];
 }
 
+function groupByHost<Item>(
+  items: readonly Item[],
+  hostsOf: (item: Item) => readonly string[],
+): ReadonlyMap<string, readonly Item[]> {
+  const byHost = new Map<string, Item[]>();
+  for (const item of items) {
+    for (const host of hostsOf(item)) {
+      const known = byHost.get(host);
+      if (known === undefined) byHost.set(host, [item]);
+      else known.push(item);
+    }
+  }
+  return byHost;
+}
+
 /**
  * Gossips membership, catalog changes, target reports and in-flight counts between hosts by
  * datagram.
@@ -205,25 +222,35 @@
 
   // Each host gets the reports of the targets that it uses.
   private sendToSharers(reports: readonly TargetReport[]): void {
-    const reportsByHost = new Map<string, TargetReport[]>();
-    for (const report of reports) {
-      for (const host of this.parts.sharersOf(report.target) ?? []) {
-        const known = reportsByHost.get(host);
-        if (known === undefined) reportsByHost.set(host, [report]);
-        else known.push(report);
-      }
-    }
+    const byHost = groupByHost(reports, ({ target }) => this.parts.sharersOf(target) ?? []);
     for (const host of this.membership.neighbours()) {
-      const used = reportsByHost.get(host.id);
+      const used = byHost.get(host.id);
       if (used !== undefined) this.sendTo([host], { kind: 'reports', reports: used });
     }
   }
 
+  private sendCountsToSharers({ host: sender, sequence, calls }: InFlightCounts): void {
+    const byHost = groupByHost([...calls], ([key]) => this.parts.sharersOfKey(key) ?? []);
+    for (const host of this.membership.neighbours()) {
+      const used = byHost.get(host.id);
+      if (used === undefined) continue;
+      const counts = [{ host: sender, sequence, calls: new Map(used) }];
+      this.sendTo([host], { kind: 'flights', counts });
+    }
+  }
+
   /**
    * Sends in-flight counts to the zone; with `isCrossZone`, to one host of each other zone instead.
    */
   broadcastInFlightCounts(counts: readonly InFlightCounts[], isCrossZone: boolean): void {
     if (counts.length === 0) return;
+    const isShared = [...counts[0]!.calls.keys()].some(
+      (key) => this.parts.sharersOfKey(key) !== null,
+    );
+    if (isShared) {
+      for (const own of counts) this.sendCountsToSharers(own);
+      return;
+    }
     const message: InFlightCountsMessage = { kind: 'flights', counts };
     if (isCrossZone)
       this.sendTo(this.chooseHostPerOtherZone('flights'), { ...message, shouldRebroadcast: true });
--- a/src/knowledge/inFlightBroadcaster.ts
+++ b/src/knowledge/inFlightBroadcaster.ts
@@ -27,6 +27,8 @@
 export interface InFlightSink {
   broadcastInFlightCounts(counts: readonly InFlightCounts[], isCrossZone: boolean): void;
   neighbourCount(): number;
+  /** Whether the hosts that use the target with this key tell each other their calls. */
+  hasInFlightBroadcasts(target: number): boolean;
 }
 
 /** Broadcasts this host's in-flight counts in batches, and relays those of other zones. */
@@ -64,10 +66,11 @@
    * `freeSlots` slots left; `isUrgent` if a call has just taken one of the last slots.
    */
   recordCalls(target: number, calls: number, freeSlots: number, isUrgent: boolean): void {
-    if (this.isLargeZone()) return;
+    if (!this.sink.hasInFlightBroadcasts(target)) return;
     this.ownCounts.set(target, { calls, sentAt: this.clock.now() });
     this.sameZonePending.add(target);
-    this.crossZonePending.add(target);
+    // Hosts of a large zone use its own targets.
+    if (!this.isLargeZone()) this.crossZonePending.add(target);
     this.schedule(freeSlots, isUrgent);
   }
 
@@ -101,6 +104,7 @@
     this.sameZoneTimer.setBy(
       now + (isUrgent ? SAME_ZONE_URGENT_BATCH_MS : sameZoneMs) * this.scaleFactor(),
     );
+    if (this.crossZonePending.size === 0) return;
     this.crossZoneTimer.setBy(now + (isUrgent ? CROSS_ZONE_URGENT_BATCH_MS : crossZoneMs));
   }
 
@@ -109,6 +113,8 @@
   }
 
   private scaleFactor(): number {
+    // In a large zone counts go to the few users of a target.
+    if (this.isLargeZone()) return 1;
     return Math.max(1, this.sink.neighbourCount() / REFERENCE_NEIGHBOURS);
   }
 
--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -33,8 +33,8 @@
     private readonly clock: Clock,
     private readonly inFlightTable: InFlightTable,
     private readonly onInFlightChange: InFlightListener,
-    /** Whether the hosts of this zone broadcast their in-flight counts to each other. */
-    private readonly hasInFlightBroadcasts: () => boolean = () => true,
+    /** Whether the users of the target with this key broadcast their in-flight counts. */
+    private readonly hasInFlightBroadcasts: (target: number) => boolean = () => true,
   ) {}
 
   /** The statistics of a target; undefined if it is not in the catalog. */
@@ -62,7 +62,7 @@
     const target = this.statistics.get(report.target);
     if (target === undefined) return;
     const observedAt = this.clock.now() - report.age;
-    const maxLoadAgeMs = this.hasInFlightBroadcasts()
+    const maxLoadAgeMs = this.hasInFlightBroadcasts(target.key)
       ? MAX_LOAD_REPORT_AGE_MS
       : LARGE_ZONE_MAX_LOAD_REPORT_AGE_MS;
     if (report.running !== null && report.age < maxLoadAgeMs && observedAt > target.loadAt) {
@@ -106,7 +106,7 @@
 
   /** Estimated number of calls of all hosts that run or wait at a target now. */
   load(target: TargetStatistics): number {
-    const lifetimeMs = this.hasInFlightBroadcasts()
+    const lifetimeMs = this.hasInFlightBroadcasts(target.key)
       ? UNATTRIBUTED_CALLS_LIFETIME_MS
       : UNATTRIBUTED_CALLS_LIFETIME_MS + LARGE_ZONE_MAX_LOAD_REPORT_AGE_MS;
     const unattributedCalls =
--- a/src/knowledge/targetSubsets.ts
+++ b/src/knowledge/targetSubsets.ts
@@ -1,6 +1,7 @@
 import { type Catalog, type Target } from '../catalog';
 import { rendezvousScore } from '../runtime';
 
+import { identityKey } from './identityKey';
 import { isLargeZone } from './largeZone';
 
 // Targets of each service that a host of a large zone uses, on average.
@@ -28,6 +29,8 @@
 
   private sharers = new Map<string, readonly string[]>();
 
+  private sharersByKey = new Map<number, readonly string[]>();
+
   private probers = new Map<string, string>();
 
   private assignments = 0;
@@ -89,9 +92,25 @@
     return this.isActive() ? this.meanOtherSharers : this.hosts.length - 1;
   }
 
+  /** As `sharersOf`, by the key of the target's id. */
+  sharersOfKey(key: number): readonly string[] | null {
+    return this.isActive() ? (this.sharersByKey.get(key) ?? []) : null;
+  }
+
+  /**
+   * Whether the users of the target tell each other their calls in flight, which they do while they
+   * are as few as the hosts of a small zone.
+   */
+  hasInFlightBroadcasts(key: number): boolean {
+    const sharers = this.sharersOfKey(key);
+    if (sharers === null) return true;
+    return sharers.includes(this.view.hostId) && !isLargeZone(sharers.length - 1);
+  }
+
   private assign(): void {
     this.assignments += 1;
     this.sharers = new Map();
+    this.sharersByKey = new Map();
     this.probers = new Map();
     const counts = new Map<string, number>();
     for (const { service } of this.targets) counts.set(service, (counts.get(service) ?? 0) + 1);
@@ -99,7 +118,9 @@
       const wanted = (TARGETS_PER_HOST * this.hosts.length) / counts.get(target.service)!;
       const order = this.order(target.id);
       this.probers.set(target.id, order[0]!);
-      this.sharers.set(target.id, order.slice(0, Math.max(MIN_SHARERS, Math.ceil(wanted))));
+      const sharers = order.slice(0, Math.max(MIN_SHARERS, Math.ceil(wanted)));
+      this.sharers.set(target.id, sharers);
+      this.sharersByKey.set(identityKey(target.id), sharers);
     }
     this.meanOtherSharers = this.averageOtherSharers();
   }
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -70,6 +70,7 @@
       broadcastInFlightCounts: (counts, isCrossZone) =>
         environment.broadcastInFlightCounts(counts, isCrossZone),
       neighbourCount,
+      hasInFlightBroadcasts: () => true,
     });
     this.targetStates = new TargetStatisticsTable(clock, this.inFlightCounts, (...change) =>
       this.inFlightBroadcaster.recordCalls(...change),
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -1,6 +1,11 @@
 import { type CatalogChanges, decodeChanges, encodeChanges, Ledger } from '../../src/catalog';
 import { type DatagramLink, Exchange, type HostAddress } from '../../src/exchange';
-import { InFlightBroadcaster, InFlightTable, type TargetReport } from '../../src/knowledge';
+import {
+  InFlightBroadcaster,
+  InFlightTable,
+  isLargeZone,
+  type TargetReport,
+} from '../../src/knowledge';
 import { type ManualClock, type Random, SeededRandom, waitUntil } from '../../src/runtime';
 
 // A pull that takes longer than this fails.
@@ -71,6 +76,8 @@
       broadcastInFlightCounts: (counts, isCrossZone) =>
         this.hosts.get(id)!.exchange.broadcastInFlightCounts(counts, isCrossZone),
       neighbourCount: () => this.hosts.get(id)!.exchange.membership.neighbours().length,
+      hasInFlightBroadcasts: () =>
+        !isLargeZone(this.hosts.get(id)!.exchange.membership.neighbours().length),
     });
     const exchange = new Exchange({
       ...{ clock: this.clock, link, ledger, self: address, zones: this.zones },
@@ -81,6 +88,7 @@
       sourceState: () => 'idle',
       isLeaving: () => false,
       sharersOf: () => null,
+      sharersOfKey: () => null,
       pull: (host, after) => this.pull(address, host, after),
       onReports: (received) => reports.push(...received),
       onInFlightCounts: (counts, shouldRebroadcast) => {
--- a/test/knowledge/inFlight.test.ts
+++ b/test/knowledge/inFlight.test.ts
@@ -2,6 +2,7 @@
   type InFlightCounts,
   InFlightBroadcaster,
   InFlightTable,
+  isLargeZone,
   identityKey,
 } from '../../src/knowledge';
 import { ManualClock } from '../../src/runtime';
@@ -21,6 +22,7 @@
   const broadcaster = new InFlightBroadcaster(clock, 'host-1', {
     broadcastInFlightCounts: (batch, isCrossZone) => sent.push({ counts: batch, isCrossZone }),
     neighbourCount: () => neighbours,
+    hasInFlightBroadcasts: () => !isLargeZone(neighbours),
   });
   return { broadcaster, sent };
 }
