--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -8,3 +8,4 @@
 export { type Random } from './random';
 export { SeededRandom } from './seededRandom';
 export { rendezvousChoice, rendezvousOrder, rendezvousScore } from './rendezvous';
+export { sample } from './sample';
