Let hosts of large zones prefer as many targets as have 18 slots

Change: the number of preferred targets follows their slots. Digests hold up to 200 members, and go to two neighbours in zones of over 100, where the timeout grows with the zone: with 100 of 279 members a digest, hosts of a zone of 280 lost sight of each other (model, 5% loss).

--- a/src/exchange/membership.ts
+++ b/src/exchange/membership.ts
@@ -10,6 +10,7 @@
 const SAME_ZONE_TIMEOUT_HEARTBEATS = 4.5;
 // In a large zone signs of life spread by digests, which takes a few seconds.
 const LARGE_ZONE_TIMEOUT_MS = 6000;
+const LARGE_ZONE_TIMEOUT_HOSTS = 100;
 // Hosts of other zones are listed by the delegates of their zones, which send less often, and in large
 // zones by some hosts at random.
 const CROSS_ZONE_TIMEOUT_MS = 3500;
@@ -176,7 +177,8 @@
       return ageMs < (isLarge ? LARGE_CROSS_ZONE_TIMEOUT_MS : CROSS_ZONE_TIMEOUT_MS);
     }
     const zoneSize = Math.max(neighbourCount + 1, this.sizeOf(host.zone));
-    if (isLargeZone(zoneSize - 1)) return ageMs < LARGE_ZONE_TIMEOUT_MS;
+    if (isLargeZone(zoneSize - 1))
+      return ageMs < LARGE_ZONE_TIMEOUT_MS * Math.max(1, zoneSize / LARGE_ZONE_TIMEOUT_HOSTS);
     return ageMs < SAME_ZONE_TIMEOUT_HEARTBEATS * heartbeatInterval(zoneSize);
   }
 
--- a/src/exchange/membershipGossip.ts
+++ b/src/exchange/membershipGossip.ts
@@ -27,7 +27,11 @@
 // Hosts of a large zone send digests to this many neighbours at this interval.
 const DIGEST_FANOUT = 3;
 const DIGEST_INTERVAL_MS = 500;
-const MAX_DIGEST_MEMBERS = 100;
+// Keeps a digest within one datagram; zones with more hosts send them to fewer neighbours, so that
+// their bytes stay within the limit of a host.
+const MAX_DIGEST_MEMBERS = 200;
+const VERY_LARGE_ZONE_NEIGHBOURS = 100;
+const VERY_LARGE_ZONE_FANOUT = 2;
 // Interval at which a host of a large zone sends some members to one host of each other zone.
 const LARGE_ZONE_DELEGATE_INTERVAL_MS = 3000;
 const MIN_MEMBERS_REQUEST_INTERVAL_MS = 300;
@@ -102,7 +106,9 @@
       this.sendTo(neighbours, this.heartbeat());
       return heartbeatInterval(neighbours.length + 1);
     }
-    this.sendTo(sample(this.parts.random, neighbours, DIGEST_FANOUT), this.digest());
+    const fanout =
+      neighbours.length > VERY_LARGE_ZONE_NEIGHBOURS ? VERY_LARGE_ZONE_FANOUT : DIGEST_FANOUT;
+    this.sendTo(sample(this.parts.random, neighbours, fanout), this.digest());
     return DIGEST_INTERVAL_MS;
   }
 
--- a/src/knowledge/targetSubsets.ts
+++ b/src/knowledge/targetSubsets.ts
@@ -4,8 +4,10 @@
 import { identityKey } from './identityKey';
 import { isLargeZone } from './largeZone';
 
-// Targets of each service that a host of a large zone uses, on average.
-const TARGETS_PER_HOST = 3;
+// Targets of each service that a host of a large zone uses on average: as many as have this number of
+// slots, so that one with a free slot and the usual pace is among them, and no fewer than the minimum.
+const PREFERRED_SLOTS = 18;
+const MIN_TARGETS_PER_HOST = 3;
 // Hosts that share a target at least, so that it is used while one of them stops or dies.
 const MIN_SHARERS = 3;
 
@@ -115,7 +117,8 @@
     const counts = new Map<string, number>();
     for (const { service } of this.targets) counts.set(service, (counts.get(service) ?? 0) + 1);
     for (const target of this.targets) {
-      const wanted = (TARGETS_PER_HOST * this.hosts.length) / counts.get(target.service)!;
+      const targetsPerHost = Math.max(MIN_TARGETS_PER_HOST, PREFERRED_SLOTS / target.slots);
+      const wanted = (targetsPerHost * this.hosts.length) / counts.get(target.service)!;
       const order = this.order(target.id);
       this.probers.set(target.id, order[0]!);
       const sharers = order.slice(0, Math.max(MIN_SHARERS, Math.ceil(wanted)));
--- a/test/knowledge/targetSubsets.test.ts
+++ b/test/knowledge/targetSubsets.test.ts
@@ -39,6 +39,14 @@
     }
   });
 
+  // Guards against calls that are sent to unknown targets because the few preferred ones are full.
+  it('have more targets where targets have few slots', () => {
+    const small = targets('small', 49).map((target) => ({ ...target, slots: 2 }));
+    const subsets = subsetsOf(hostNames(45), small);
+    const used = subsets.map((own) => small.filter(({ id }) => own.has(id)).length);
+    expect(used.reduce((sum, count) => sum + count, 0) / 45).toBeGreaterThan(8);
+  });
+
   // Guards against connections and knowledge that are lost because one host left.
   it('change little when a host leaves', () => {
     const hosts = hostNames(70);
