--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -1,6 +1,6 @@
 import { Err, Ok, type Result } from 'ts-results';
 
-import { type CatalogChanges, Ledger, readChanges } from '../catalog';
+import { Ledger } from '../catalog';
 import {
   CallServer,
   CrashGuard,
@@ -29,7 +29,6 @@
 import { type BalancerSettings } from '../settings';
 import { CatalogReader, mustRead, SOURCE_EVENTS } from '../source';
 import { CrashTable } from '../suspects';
-import { JsonClient } from '../transport';
 
 import { type BalancerAdapter } from './balancerAdapter';
 import { TargetConditionLog } from './beliefLog';
@@ -39,12 +38,12 @@
 import { BALANCER_EVENTS } from './events';
 import { listenAt } from './listen';
 import { BALANCER_METRICS } from './metrics';
+import { pullCatalog } from './pullCatalog';
 import { createReadinessServer } from './readinessServer';
 import { sourceReports } from './sourceReports';
 
 // Period of work that no event triggers: assigning health checks, detecting lost targets, gauges.
 const TICK_MS = 100;
-const PULL_TIMEOUT_MS = 600;
 
 /** Settings and dependencies of a balancer. */
 export interface BalancerParts {
@@ -362,7 +361,12 @@
       isLeaving: () => this.isStopping,
       sharersOf: (target) => this.subsets.sharersOf(target),
       sharersOfKey: (key) => this.subsets.sharersOfKey(key),
-      pull: (host, after) => this.pull(host, after),
+      pull: (host, after) =>
+        pullCatalog(
+          { clock, events, port: settings['control-address'].split(':')[1]! },
+          host,
+          after,
+        ),
       onReports: (reports) => {
         for (const report of reports) this.applyReport(report);
       },
@@ -378,20 +382,6 @@
     });
   }
 
-  private async pull(host: HostAddress, after: number): Promise<CatalogChanges | null> {
-    const { clock, events, settings } = this.parts;
-    const port = settings['control-address'].split(':')[1];
-    const client = new JsonClient(`http://${host.ip}:${port}`, clock);
-    const reply = await client.get(`/catalog?after=${after}`, clock.now() + PULL_TIMEOUT_MS);
-    client.close();
-    const isServed = reply.ok && reply.val.status === 200;
-    const changes = isServed ? readChanges(reply.val.body, clock.now()) : null;
-    if (changes !== null) return changes;
-    const reason = reply.ok ? `status ${reply.val.status}` : reply.val.message;
-    events.emit(EXCHANGE_EVENTS.pullFailed, { peer: host.id, after, reason });
-    return null;
-  }
-
   /** Applies a report of this host and queues it for broadcast to the others. */
   private applyAndBroadcast(report: TargetReport): void {
     this.applyReport(report);
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -1,8 +1,6 @@
-import { type CatalogChanges, decodeChanges, encodeChanges, type Ledger } from '../catalog';
+import { type CatalogChanges, decodeChanges, encodeChanges } from '../catalog';
 import { type InFlightCounts, isLargeZone, type TargetReport } from '../knowledge';
-import { type EventSink } from '../logging';
-import { type Clock, type Random, sample } from '../runtime';
-import { type SourceState } from '../source';
+import { sample } from '../runtime';
 
 import { CatalogPuller } from './catalogPuller';
 import { MAX_DATAGRAM_BYTES, decodeMessage, encodeMessage } from './datagramCodec';
@@ -10,7 +8,7 @@
 import { EXCHANGE_EVENTS } from './events';
 import { type HostAddress } from './hostAddress';
 import { Membership } from './membership';
-import { MembershipGossip } from './membershipGossip';
+import { type HostView, MembershipGossip } from './membershipGossip';
 import {
   type CrashNotice,
   type InFlightCountsMessage,
@@ -23,20 +21,8 @@
 const HOLDER_NOTICE_HOSTS = 8;
 
 /** Dependencies and callbacks of `Exchange`. */
-export interface ExchangeParts {
-  readonly clock: Clock;
-  readonly random: Random;
+export interface ExchangeParts extends HostView {
   readonly link: DatagramLink;
-  readonly ledger: Ledger;
-  readonly events: EventSink;
-  readonly self: HostAddress;
-  readonly incarnation: number;
-  /** All zones of the region, including this host's own. */
-  readonly zones: readonly string[];
-  /** IP addresses at which other hosts may be reached at the start. */
-  readonly seeds: () => readonly string[];
-  readonly sourceState: () => SourceState;
-  readonly isLeaving: () => boolean;
   /** Hosts of this zone that use a target; null when all of them do. */
   readonly sharersOf: (target: string) => readonly string[] | null;
   /** As `sharersOf`, by the key of the target's id. */
--- a/src/exchange/membershipGossip.ts
+++ b/src/exchange/membershipGossip.ts
@@ -38,18 +38,24 @@
 // A neighbour that counts this many times the hosts that this host knows can list the others.
 const ZONE_SIZE_GAP_FACTOR = 1.1;
 
-/** Dependencies of `MembershipGossip`. */
-export interface MembershipGossipParts {
+/** What a host tells others of itself, and where it finds them. */
+export interface HostView {
   readonly clock: Clock;
   readonly random: Random;
   readonly events: EventSink;
   readonly ledger: Ledger;
   readonly self: HostAddress;
   readonly incarnation: number;
+  /** All zones of the region, including this host's own. */
   readonly zones: readonly string[];
+  /** IP addresses at which other hosts may be reached at the start. */
   readonly seeds: () => readonly string[];
   readonly sourceState: () => SourceState;
   readonly isLeaving: () => boolean;
+}
+
+/** Dependencies of `MembershipGossip`. */
+export interface MembershipGossipParts extends HostView {
   readonly otherZones: OtherZones;
   readonly send: (ips: readonly string[], message: Message) => void;
 }
--- a/src/knowledge/targetSubsets.ts
+++ b/src/knowledge/targetSubsets.ts
@@ -31,6 +31,8 @@
 
   private sharers = new Map<string, readonly string[]>();
 
+  private ownTargets = new Set<string>();
+
   private sharersByKey = new Map<number, readonly string[]>();
 
   private probers = new Map<string, string>();
@@ -75,8 +77,7 @@
 
   /** Whether this host uses the target before others. */
   has(target: string): boolean {
-    if (!this.isActive()) return true;
-    return this.sharers.get(target)?.includes(this.view.hostId) === true;
+    return !this.isActive() || this.ownTargets.has(target);
   }
 
   /** Whether this host checks the health of the target; one host of the target's zone does. */
@@ -113,6 +114,7 @@
     this.assignments += 1;
     this.sharers = new Map();
     this.sharersByKey = new Map();
+    this.ownTargets = new Set();
     this.probers = new Map();
     const counts = new Map<string, number>();
     for (const { service } of this.targets) counts.set(service, (counts.get(service) ?? 0) + 1);
@@ -123,15 +125,16 @@
       this.probers.set(target.id, order[0]!);
       const sharers = order.slice(0, Math.max(MIN_SHARERS, Math.ceil(wanted)));
       this.sharers.set(target.id, sharers);
+      if (sharers.includes(this.view.hostId)) this.ownTargets.add(target.id);
       this.sharersByKey.set(identityKey(target.id), sharers);
     }
     this.meanOtherSharers = this.averageOtherSharers();
   }
 
   private averageOtherSharers(): number {
-    const own = [...this.sharers.values()].filter((ids) => ids.includes(this.view.hostId));
-    const total = own.reduce((sum, ids) => sum + ids.length - 1, 0);
-    return own.length === 0 ? MIN_SHARERS - 1 : total / own.length;
+    const counts = [...this.ownTargets].map((target) => this.sharers.get(target)!.length - 1);
+    const total = counts.reduce((sum, count) => sum + count, 0);
+    return counts.length === 0 ? MIN_SHARERS - 1 : total / counts.length;
   }
 
   /** Hosts by descending rendezvous score for the target. */
