--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -7,6 +7,9 @@
   type TargetReport,
 } from '../../src/knowledge';
 import { type ManualClock, type Random, SeededRandom, waitUntil } from '../../src/runtime';
+import { CatalogReader, mustRead } from '../../src/source';
+
+import { type SimulatedSource } from './simulatedSource';
 
 // A pull that takes longer than this fails.
 const PULL_TIMEOUT_MS = 600;
@@ -20,6 +23,7 @@
   readonly ledger: Ledger;
   readonly exchange: Exchange;
   readonly reports: TargetReport[];
+  readonly reader: CatalogReader | null;
   readonly inFlightTable: InFlightTable;
   readonly inFlightBroadcaster: InFlightBroadcaster;
   sentBytes: number;
@@ -43,6 +47,9 @@
   /** Pulls that a host serves at the same time; it rejects the others. */
   mostPullsServed = Infinity;
 
+  /** Share of the pulls that time out. */
+  pullLossRatio = 0;
+
   /** Whether datagrams from one host to another are dropped. */
   isCut: (from: HostAddress, to: HostAddress) => boolean = () => false;
 
@@ -55,11 +62,14 @@
     private readonly random: Random,
     private readonly zones: readonly string[],
     private readonly seeds: () => readonly string[],
+    /** Read by the reader of each zone; without it, hosts only learn from each other. */
+    private readonly source: SimulatedSource | null = null,
   ) {}
 
   /** Starts a host, or restarts it without its previous state. */
   start(id: string, zone: string, ip: string): SimulatedHost {
     this.hosts.get(id)?.exchange.close();
+    this.hosts.get(id)?.reader?.close();
     this.nextIncarnation += 1;
     const address = { id, zone, ip };
     const ledger = new Ledger();
@@ -85,7 +95,7 @@
       events: { emit: () => {} },
       incarnation: this.nextIncarnation,
       seeds: this.seeds,
-      sourceState: () => 'idle',
+      sourceState: () => this.hosts.get(id)?.reader?.state() ?? 'idle',
       isLeaving: () => false,
       sharersOf: () => null,
       sharersOfKey: () => null,
@@ -104,6 +114,7 @@
       ledger,
       exchange,
       reports,
+      reader: this.makeReader(id, ledger, exchange),
       sentBytes: 0,
       sentDatagrams: 0,
       isDown: false,
@@ -111,6 +122,7 @@
     };
     this.hosts.set(id, host);
     exchange.start();
+    void host.reader?.run();
     return host;
   }
 
@@ -119,6 +131,7 @@
     const host = this.hosts.get(id)!;
     host.isDown = true;
     host.exchange.close();
+    host.reader?.close();
   }
 
   /** Advances simulated time, settling the promises of pulls in between. */
@@ -126,9 +139,8 @@
     const end = this.clock.now() + milliseconds;
     while (this.clock.now() < end) {
       this.clock.advanceTo(Math.min(end, this.clock.now() + 10));
-      await Promise.resolve();
-      await Promise.resolve();
-      await Promise.resolve();
+      // Runs all callbacks of promises that have been settled.
+      await new Promise(setImmediate);
     }
   }
 
@@ -137,6 +149,28 @@
     return [...this.hosts.values()].filter((host) => !host.isDown);
   }
 
+  private makeReader(id: string, ledger: Ledger, exchange: Exchange): CatalogReader | null {
+    if (this.source === null) return null;
+    const { clock } = this;
+    const startedAt = clock.now();
+    return new CatalogReader({
+      ...{ clock, ledger, random: new SeededRandom(this.nextIncarnation) },
+      source: this.source.connect(id),
+      events: { emit: () => {} },
+      mustRead: () =>
+        mustRead({
+          ...{ hostId: id, isStopping: false, isFirstStart: true },
+          knowsConfiguration: ledger.catalog().configuration !== null,
+          uptimeMs: clock.now() - startedAt,
+          neighbours: exchange.membership
+            .neighbours()
+            .map((host) => ({ hostId: host.id, state: host.source })),
+        }),
+      onChanges: (changes) => exchange.broadcastChanges(changes),
+      onStateChange: () => exchange.announce(),
+    });
+  }
+
   private byIp(ip: string): SimulatedHost | undefined {
     return [...this.hosts.values()].find((host) => host.address.ip === ip);
   }
@@ -166,6 +200,10 @@
     if (host === undefined || host.isDown || this.isCut(from, to) || this.isCut(to, from))
       return null;
     if (host.pullsServed >= this.mostPullsServed) return null;
+    if (this.random.next() < this.pullLossRatio) {
+      await waitUntil(this.clock, this.clock.now() + PULL_TIMEOUT_MS);
+      return null;
+    }
     const text = encodeChanges(host.ledger.changesAfter(after), this.clock.now());
     if (this.transferMs > 0 && !(await this.transfer(host))) return null;
     return decodeChanges(text, this.clock.now());
--- /dev/null
+++ b/test/exchange/simulatedSource.ts
@@ -0,0 +1,87 @@
+import { Err, Ok, type Result } from 'ts-results';
+
+import { type CatalogChanges, type CatalogFact, type CatalogRecord } from '../../src/catalog';
+import { type ManualClock, waitUntil } from '../../src/runtime';
+import { type CatalogSource, type SourceError } from '../../src/source';
+
+const ANSWER_MS = 4;
+
+/** How the source treats the requests of a host. */
+export type SourceMode = 'answers' | 'refuses' | 'silent';
+
+/** A published catalog in simulated time, with failures by host. */
+export class SimulatedSource {
+  /** How the source treats each host; all hosts are answered by default. */
+  modeOf: (host: string) => SourceMode = () => 'answers';
+
+  requests = 0;
+
+  private revision = 0;
+
+  private readonly records = new Map<string, CatalogRecord>();
+
+  private readonly waiting = new Set<() => void>();
+
+  constructor(private readonly clock: ManualClock) {}
+
+  /** Publishes or deletes the fact of a key. */
+  publish(key: string, fact: CatalogFact | null): void {
+    this.revision += 1;
+    this.records.set(key, { key, revision: this.revision, fact });
+    for (const wake of this.waiting) wake();
+    this.waiting.clear();
+  }
+
+  /** The connection of a host to this source. */
+  connect(host: string): CatalogSource {
+    let connection = new AbortController();
+    return {
+      readAll: (deadline) =>
+        this.answer(host, deadline, connection.signal, () => ({
+          after: null,
+          asOf: this.revision,
+          records: this.changedAfter(0).filter((record) => record.fact !== null),
+        })),
+      watch: async (after, watchUntil, deadline) => {
+        await this.changeAfter(after, watchUntil, connection.signal);
+        return this.answer(host, deadline, connection.signal, () => ({
+          after,
+          asOf: this.revision,
+          records: this.changedAfter(after),
+        }));
+      },
+      close: () => {
+        connection.abort();
+        connection = new AbortController();
+      },
+    };
+  }
+
+  private changedAfter(after: number): readonly CatalogRecord[] {
+    return [...this.records.values()].filter((record) => record.revision > after);
+  }
+
+  private changeAfter(after: number, until: number, signal: AbortSignal): Promise<void> {
+    if (this.revision > after) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.waiting.add(resolve);
+      void waitUntil(this.clock, until, signal).then(resolve);
+    });
+  }
+
+  private async answer(
+    host: string,
+    deadline: number,
+    signal: AbortSignal,
+    changes: () => CatalogChanges,
+  ): Promise<Result<CatalogChanges, SourceError>> {
+    this.requests += 1;
+    if (this.modeOf(host) === 'silent') {
+      await waitUntil(this.clock, deadline, signal);
+      return Err({ kind: 'timeout', message: 'no answer' });
+    }
+    await waitUntil(this.clock, this.clock.now() + ANSWER_MS, signal);
+    if (this.modeOf(host) !== 'answers') return Err({ kind: 'refused', message: 'status 503' });
+    return Ok(changes());
+  }
+}
