Log pulls of the catalog and the version of the configuration in use

Change: event 2104 for a pull, with the time behind; version in event 2200; gauges of the newest revision and of the version in use. No logic changed.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -414,6 +414,15 @@
     metrics.timing(BALANCER_METRICS.callTime, elapsedMs, { route });
   }
 
+  private reportCatalog(): void {
+    const { metrics } = this.parts;
+    const { asOf, configuration, targets } = this.ledger.catalog();
+    metrics.gauge(BALANCER_METRICS.asOf, asOf);
+    metrics.gauge(BALANCER_METRICS.newest, this.ledger.newestRevision());
+    metrics.gauge(BALANCER_METRICS.version, configuration?.version ?? 0);
+    metrics.gauge(BALANCER_METRICS.targets, targets.size);
+  }
+
   private startTicks(): () => void {
     const { clock, metrics, events, droppedLines } = this.parts;
     let expectedAt = clock.now() + TICK_MS;
@@ -425,8 +434,7 @@
       if (this.subsets.refresh()) this.probes.assign();
       this.probes.tick();
       metrics.gauge(BALANCER_METRICS.hosts, this.exchange.membership.live().length);
-      metrics.gauge(BALANCER_METRICS.asOf, this.ledger.catalog().asOf);
-      metrics.gauge(BALANCER_METRICS.targets, this.ledger.catalog().targets.size);
+      this.reportCatalog();
       metrics.gauge(BALANCER_METRICS.linesDropped, droppedLines());
       if (droppedLines() > reportedDrops) {
         events.emit(BALANCER_EVENTS.linesDropped, { lines: droppedLines() - reportedDrops });
--- a/src/balancer/metrics.ts
+++ b/src/balancer/metrics.ts
@@ -57,6 +57,18 @@
     unit: 'revision',
     description: 'Revision up to which the catalog is complete.',
   },
+  newest: {
+    name: 'balancer.newest_revision',
+    kind: 'gauge',
+    unit: 'revision',
+    description: 'Highest revision known; above the complete one while records may be missing.',
+  },
+  version: {
+    name: 'balancer.configuration_version',
+    kind: 'gauge',
+    unit: 'version',
+    description: 'Version of the configuration in use; 0 before the first.',
+  },
   targets: {
     name: 'balancer.targets',
     kind: 'gauge',
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -162,8 +162,10 @@
   /** The inputs of a placement, as log fields. */
   explain(call: IncomingCall, placement: Placement): Readonly<Record<string, unknown>> {
     const now = this.parts.clock.now();
+    const { asOf, configuration } = this.parts.catalog();
     const common = {
-      asOf: this.parts.catalog().asOf,
+      asOf,
+      version: configuration?.version ?? null,
       objectiveLeftMs: Math.round(call.arrivedAt + call.route.latencyObjectiveMs - now),
       waiting: this.waitQueueOf(call.service).size(),
     };
--- a/src/exchange/catalogPuller.ts
+++ b/src/exchange/catalogPuller.ts
@@ -1,6 +1,8 @@
 import { type CatalogChanges, type Ledger } from '../catalog';
+import { type EventSink } from '../logging';
 import { type Clock, type Random } from '../runtime';
 
+import { EXCHANGE_EVENTS } from './events';
 import { type HostAddress } from './hostAddress';
 import { type KnownHost } from './knownHost';
 import { type Membership } from './membership';
@@ -15,6 +17,7 @@
 export interface CatalogPullerParts {
   readonly clock: Clock;
   readonly random: Random;
+  readonly events: EventSink;
   readonly ledger: Ledger;
   readonly membership: Membership;
   /** Zone of this host. */
@@ -29,6 +32,9 @@
 export class CatalogPuller {
   private isPulling = false;
 
+  /** Monotonic time at which this host learned that another one is ahead. */
+  private behindSince = 0;
+
   private isClosed = false;
 
   constructor(private readonly parts: CatalogPullerParts) {}
@@ -38,6 +44,7 @@
     if (this.isPulling || this.isClosed || this.chooseHolder() === null) return;
     this.isPulling = true;
     const { clock, random, membership } = this.parts;
+    this.behindSince = clock.now();
     const spreadMs = membership.neighbours().length * PULL_SPREAD_MS_PER_HOST;
     clock.setTimer(clock.now() + PULL_DELAY_MS + spreadMs * random.next(), () => {
       void this.pull();
@@ -56,7 +63,7 @@
     if (holder !== null) {
       const changes = await this.parts.pull(holder, ledger.catalog().asOf);
       if (changes !== null) {
-        ledger.apply(changes);
+        this.logPulled(holder, changes, ledger.apply(changes).length);
         this.parts.onPulled();
       }
     }
@@ -64,6 +71,17 @@
     this.check();
   }
 
+  private logPulled(holder: KnownHost, changes: CatalogChanges, newerRecords: number): void {
+    const { clock, events, ledger } = this.parts;
+    events.emit(EXCHANGE_EVENTS.pulled, {
+      peer: holder.id,
+      asOf: changes.asOf,
+      newest: ledger.newestRevision(),
+      newerRecords,
+      behindMs: Math.round(clock.now() - this.behindSince),
+    });
+  }
+
   /** A random live host that knows more than this one, of this zone if there is one. */
   private chooseHolder(): KnownHost | null {
     const { zone, random, ledger, membership } = this.parts;
--- a/src/exchange/events.ts
+++ b/src/exchange/events.ts
@@ -18,4 +18,9 @@
     level: 'warn',
     message: 'pulling the catalog from another host failed',
   },
+  pulled: {
+    number: 2104,
+    level: 'info',
+    message: 'pulled catalog changes that another host knew and this one did not',
+  },
 });
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -103,13 +103,13 @@
 
   constructor(private readonly parts: ExchangeParts) {
     this.membership = new Membership(parts.clock, parts.self);
-    const { clock, random, ledger, self, pull, zones } = parts;
+    const { clock, random, events, ledger, self, pull, zones } = parts;
     const { membership } = this;
     this.otherZones = new OtherZones({ clock, random, self, zones, membership });
     const send = (ips: readonly string[], message: Message) => this.send(ips, message);
     this.gossip = new MembershipGossip({ ...parts, otherZones: this.otherZones, send }, membership);
     this.puller = new CatalogPuller({
-      ...{ clock, random, ledger, pull, zone: self.zone, membership },
+      ...{ clock, random, events, ledger, pull, zone: self.zone, membership },
       onPulled: () => {
         const told = sample(random, membership.neighbours(), HOLDER_NOTICE_HOSTS);
         this.sendTo(told, this.gossip.heartbeat());
