Ask a second holder for a catalog change while the first one does not reply

Cause: a host that was behind waited up to 8 ms for each neighbour before its first pull, also when the change was known in another zone only and nobody else of its zone could pull it, and 600 ms for a holder without a reply; a change that fits into no datagram was told to one host of each other zone, which may miss it. A zone whose reader waits on a dead connection (2.85 s) has no other way. Change: up to three holders are asked, 100 ms apart; the spread of the first pulls is at most 200 ms, and none for a change of another zone; three hosts of each other zone are told.

--- a/src/exchange/catalogPuller.ts
+++ b/src/exchange/catalogPuller.ts
@@ -12,6 +12,10 @@
 // Hosts that learn of a large change at the same time pull it one after the other, so that the link
 // of the first holder is not shared by all of them; the later ones find more holders.
 const PULL_SPREAD_MS_PER_HOST = 8;
+const MAX_PULL_SPREAD_MS = 200;
+// A holder that has not replied by then may be busy or unreachable; another one is asked as well.
+const NEXT_HOLDER_DELAY_MS = 100;
+const MAX_PARALLEL_PULLS = 3;
 
 /** Dependencies and callbacks of `CatalogPuller`. */
 export interface CatalogPullerParts {
@@ -39,6 +43,9 @@
   /** Monotonic time at which this host learned that it lacks records. */
   private behindSince = 0;
 
+  /** Pulls without a reply, by the id of the holder. */
+  private readonly pulls = new Map<string, Promise<void>>();
+
   /** State of each host when its records were last pulled. */
   private readonly pulledStates = new Map<string, string>();
 
@@ -49,10 +56,11 @@
   /** Starts to catch up if another host is ahead; called when the state of a host was received. */
   check(): void {
     if (this.isCatchingUp || this.isClosed) return;
-    if (this.chooseHolder() === null) return;
+    const holder = this.chooseHolder();
+    if (holder === null) return;
     this.isCatchingUp = true;
     this.behindSince = this.parts.clock.now();
-    void this.catchUp();
+    void this.catchUp(holder);
   }
 
   /** Starts no further pulls. */
@@ -60,23 +68,32 @@
     this.isClosed = true;
   }
 
-  private async catchUp(): Promise<void> {
+  private async catchUp(first: KnownHost): Promise<void> {
     const { clock, membership } = this.parts;
-    await waitUntil(clock, clock.now() + this.firstPullDelay());
+    await waitUntil(clock, clock.now() + this.firstPullDelay(first));
     while (!this.isClosed) {
-      const holder = this.chooseHolder();
-      if (holder === null) break;
-      await this.pull(holder);
+      const holder = this.pulls.size < MAX_PARALLEL_PULLS ? this.chooseHolder() : null;
+      if (holder !== null) this.startPull(holder);
+      else if (this.pulls.size === 0) break;
+      const nextHolder = waitUntil(clock, clock.now() + NEXT_HOLDER_DELAY_MS);
+      await Promise.race([nextHolder, ...this.pulls.values()]);
     }
     const live = new Set(membership.live().map((host) => host.id));
     for (const id of this.pulledStates.keys()) if (!live.has(id)) this.pulledStates.delete(id);
     this.isCatchingUp = false;
   }
 
-  private firstPullDelay(): number {
+  // A change that is known in another zone only was told to few hosts of this zone.
+  private firstPullDelay(holder: KnownHost): number {
+    if (holder.zone !== this.parts.zone) return PULL_DELAY_MS;
     const { membership, random } = this.parts;
     const spreadMs = membership.neighbours().length * PULL_SPREAD_MS_PER_HOST;
-    return PULL_DELAY_MS + spreadMs * random.next();
+    return PULL_DELAY_MS + Math.min(spreadMs, MAX_PULL_SPREAD_MS) * random.next();
+  }
+
+  private startPull(holder: KnownHost): void {
+    const ended = this.pull(holder).finally(() => this.pulls.delete(holder.id));
+    this.pulls.set(holder.id, ended);
   }
 
   private async pull(holder: KnownHost): Promise<void> {
@@ -107,7 +124,9 @@
   /** A random live host with records that this one lacks, of this zone if there is one. */
   private chooseHolder(): KnownHost | null {
     const { zone, random, membership } = this.parts;
-    const holders = membership.live().filter((host) => this.holdsMore(host));
+    const holders = membership
+      .live()
+      .filter((host) => !this.pulls.has(host.id) && this.holdsMore(host));
     if (holders.length === 0) return null;
     const near = holders.filter((host) => host.zone === zone);
     const candidates = near.length > 0 ? near : holders;
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -17,6 +17,9 @@
 } from './message';
 import { OtherZones } from './otherZones';
 
+// A change that does not fit into a datagram is told to this many hosts of each other zone, since the
+// reader of that zone may be unable to read it.
+const OTHER_ZONE_NOTICE_HOSTS = 3;
 // A host that has pulled a change tells this many neighbours that it holds it too.
 const HOLDER_NOTICE_HOSTS = 8;
 
@@ -143,7 +146,7 @@
       // Too large for a datagram: other hosts pull the changes once a heartbeat has the newer
       // revision.
       this.announce();
-      this.gossip.sendMembersToOtherZones();
+      this.sendTo(this.otherZones.sample(OTHER_ZONE_NOTICE_HOSTS), this.gossip.heartbeat());
       return;
     }
     this.sendTo(this.membership.neighbours(), message);
--- a/src/exchange/membershipGossip.ts
+++ b/src/exchange/membershipGossip.ts
@@ -257,7 +257,7 @@
   }
 
   /** Sends some members of this zone to one host of each other zone. */
-  sendMembersToOtherZones(): void {
+  private sendMembersToOtherZones(): void {
     const { self } = this.parts;
     const neighbours = this.membership.neighbours();
     const members = sample(this.parts.random, [self, ...neighbours], MAX_CROSS_ZONE_MEMBERS).map(
--- a/src/exchange/otherZones.ts
+++ b/src/exchange/otherZones.ts
@@ -1,5 +1,5 @@
 import { isLargeZone } from '../knowledge';
-import { type Clock, type Random, rendezvousChoice } from '../runtime';
+import { type Clock, type Random, rendezvousChoice, sample } from '../runtime';
 
 import { type HostAddress } from './hostAddress';
 import { type Membership } from './membership';
@@ -26,6 +26,14 @@
 export class OtherZones {
   constructor(private readonly parts: OtherZonesParts) {}
 
+  /** Up to `count` random live hosts of each other zone. */
+  sample(count: number): readonly HostAddress[] {
+    const { self, random, membership } = this.parts;
+    return this.parts.zones
+      .filter((zone) => zone !== self.zone)
+      .flatMap((zone) => sample(random, membership.inZone(zone), count));
+  }
+
   /** One live host of each other zone, for a message of this purpose. */
   choose(purpose: Purpose): readonly HostAddress[] {
     const { self, random, clock, membership } = this.parts;
