Keep the limit of calls that a target states, over all hosts

Cause: the limit in an answer was not read. Class: a sum over hosts that each host can only keep for itself. Change: the limit is read, reported to other hosts, and shared out by the mechanism that shared out the rate of cold targets, which now divides any rate, those below one call a second too, among the users of the target. Repeats and hedges count; what no target can take is refused at once, with a time to come back from the limits. Values that are no number are logged once for each target, and the answer is delivered.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -32,7 +32,7 @@
 
 import { type BalancerAdapter } from './balancerAdapter';
 import { TargetConditionLog } from './beliefLog';
-import { coldShare, MIN_ASSUMED_HOSTS } from './coldShare';
+import { callShare, MIN_ASSUMED_HOSTS } from './callShare';
 import { createControlServer } from './controlServer';
 import { describeBalancer } from './describeBalancer';
 import { BALANCER_EVENTS } from './events';
@@ -158,8 +158,10 @@
       },
       preference: this.subsets,
       isConnected: (target) => this.delivery.isConnected(target),
-      coldShare: (target, rate) =>
-        coldShare(target.id, target.zone === settings.zone, rate, this.fleetSize()),
+      callShare: (target, rate) =>
+        this.isStopping
+          ? 0
+          : callShare(target.id, target.zone === settings.zone, rate, this.fleetSize(target.id)),
     });
     const crashes = new CrashGuard(
       clock,
@@ -384,8 +386,9 @@
 
   /** Applies a report of this host and queues it for broadcast to the others. */
   private applyAndBroadcast(report: TargetReport): void {
+    const hasLimitChanged = this.targetStates.hasOtherLimit(report);
     this.applyReport(report);
-    this.reportBroadcaster.enqueue(report);
+    this.reportBroadcaster.enqueue(report, hasLimitChanged);
   }
 
   private applyReport(report: TargetReport): void {
@@ -399,10 +402,10 @@
     return [...others.map((host) => host.id), this.parts.settings['host-id']];
   }
 
-  private fleetSize() {
+  private fleetSize(target: string) {
     const { membership } = this.exchange;
     const hostId = this.parts.settings['host-id'];
-    const zoneHosts = [hostId, ...membership.neighbours().map((host) => host.id)];
+    const zoneHosts = this.subsets.sharersOf(target) ?? this.stayingZoneHosts();
     return { hostId, zoneHosts, maxLiveHostCount: membership.maxLiveHostCount() };
   }
 
--- a/src/balancer/coldShare.ts
+++ b/src/balancer/callShare.ts
@@ -4,24 +4,24 @@
 // have up to 20 hosts including spares.
 export const MIN_ASSUMED_HOSTS = 20;
 
-/** What a host knows about the fleet when it computes its share of a cold target. */
+/** What a host knows about the fleet when it computes its share of the calls to a target. */
 export interface FleetSize {
   readonly hostId: string;
-  /** This host and the live ones of its zone. */
+  /** This host and the live ones of its zone that use the target. */
   readonly zoneHosts: readonly string[];
   /** Highest number of hosts of all zones that were live at the same time. */
   readonly maxLiveHostCount: number;
 }
 
 /**
- * Calls per second that this host may send to a cold target that takes `callsPerSecond` from all
- * hosts. If that is at least one call per second for each assumed host, all hosts have the same
- * share, rounded down, however many are serving. Otherwise the first hosts of the target's zone, in
- * the order of the target (rendezvous hashing), have one call per second each, because hosts of one
+ * Calls per second that this host may send to a target that takes `callsPerSecond` from all hosts. If
+ * that is at least one call per second for each assumed host, all hosts have the same share, rounded
+ * down, however many are serving. Otherwise the first hosts of the target's zone, in the order of the
+ * target (rendezvous hashing), have equal shares of at most one call per second, because hosts of one
  * zone know each other. A host that sees no other host of its zone then has no share, since others
  * may have taken over its place; this holds only if more than 2 hosts were live at once.
  */
-export function coldShare(
+export function callShare(
   target: string,
   isOwnZone: boolean,
   callsPerSecond: number,
@@ -31,10 +31,8 @@
   const share = Math.floor(callsPerSecond / assumedHosts);
   if (share >= 1) return share;
   const isAlone = fleet.zoneHosts.length === 1 && fleet.maxLiveHostCount > 2;
-  if (!isOwnZone || isAlone) return 0;
-  const hostsWithShare = rendezvousOrder(target, fleet.zoneHosts).slice(
-    0,
-    Math.floor(callsPerSecond),
-  );
-  return hostsWithShare.includes(fleet.hostId) ? 1 : 0;
+  if (!isOwnZone || isAlone || callsPerSecond <= 0) return 0;
+  const shares = Math.ceil(callsPerSecond);
+  const hostsWithShare = rendezvousOrder(target, fleet.zoneHosts).slice(0, shares);
+  return hostsWithShare.includes(fleet.hostId) ? callsPerSecond / shares : 0;
 }
--- a/src/balancer/index.ts
+++ b/src/balancer/index.ts
@@ -3,3 +3,4 @@
 export { Balancer, type BalancerParts } from './balancer';
 export { BALANCER_EVENTS } from './events';
 export { BALANCER_METRICS } from './metrics';
+export { callShare, type FleetSize } from './callShare';
--- a/src/delivery/answerMetadata.ts
+++ b/src/delivery/answerMetadata.ts
@@ -7,6 +7,8 @@
   /** Whether the target states that it did not run the call. */
   readonly isNotRun: boolean;
   readonly load: TargetLoad | null;
+  /** Calls per second that the target takes from all hosts; null when it states no limit. */
+  readonly callLimit: number | 'unreadable' | null;
   /** Remaining warm-up of the target in milliseconds; null when not reported. */
   readonly coldLeft: number | null;
   /** Id of the target that answered; null when not reported. */
--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -293,6 +293,7 @@
       leftMs: Math.max(0, this.call.callerDeadline - clock.now()),
       workMs: this.workMs(),
       rank: placer.rankOf(this.call),
+      callIntervalMs: reason === 'limited' ? placer.callIntervalMs(this.call.service) : 0,
     };
     const retryAfterMs = retryAfter(reason, input, random);
     return { kind: 'own', own: { kind: 'notRun', reason, retryAfterMs } };
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -10,6 +10,7 @@
 import { type Clock, type Random, type Timer } from '../runtime';
 
 import { type AnswerHead } from './answerHead';
+import { type TargetLoad } from './answerMetadata';
 import { Attempt } from './attempt';
 import { type AttemptObserver } from './attemptObserver';
 import { type AttemptResult } from './attemptResult';
@@ -33,6 +34,14 @@
   readonly load: number;
 }
 
+interface StatedByTarget {
+  readonly load: TargetLoad | null;
+  readonly coldLeft: number | null;
+  readonly callLimit: number | null;
+}
+
+const NOTHING_STATED: StatedByTarget = { load: null, coldLeft: null, callLimit: null };
+
 /** Metrics that delivery records. */
 export interface DeliveryCounters {
   attempt(service: string): void;
@@ -89,6 +98,9 @@
 
   private readonly transmit: Transmit;
 
+  /** Targets whose unreadable limit was logged. */
+  private readonly targetsWithUnreadableLimit = new Set<string>();
+
   private readonly retryBudgets = new Map<string, RetryBudget>();
 
   constructor(private readonly parts: DeliveryParts) {
@@ -119,6 +131,9 @@
   /** Applies a changed catalog. */
   applyCatalog(catalog: Catalog): void {
     this.connections.applyCatalog(catalog);
+    this.placer.applyCatalog(catalog);
+    for (const target of this.targetsWithUnreadableLimit)
+      if (!catalog.targets.has(target)) this.targetsWithUnreadableLimit.delete(target);
   }
 
   /** Whether there is an idle connection to a target. */
@@ -190,7 +205,23 @@
     }
     const failureObservation: ObservationKind = head.metadata.isNotRun ? 'refusal' : 'failure';
     const observation: ObservationKind = isNormalAnswer ? 'answer' : failureObservation;
-    this.report(attempt.target, observation, load, coldLeft);
+    const callLimit = this.callLimitOf(attempt, head, isNormalAnswer);
+    this.report(attempt.target, observation, { load, coldLeft, callLimit });
+  }
+
+  // Only the answer of a call that was run shows that a limit has ended.
+  private callLimitOf(
+    { target, call }: RunningAttempt,
+    { metadata }: AnswerHead,
+    isNormalAnswer: boolean,
+  ): number | null {
+    if (metadata.callLimit === 'unreadable') {
+      if (this.targetsWithUnreadableLimit.has(target.id)) return null;
+      this.targetsWithUnreadableLimit.add(target.id);
+      this.events.emit(DELIVERY_EVENTS.unreadableLimit, { call: call.id, target: target.id });
+      return null;
+    }
+    return metadata.callLimit ?? (isNormalAnswer ? Infinity : null);
   }
 
   private recordEnd(attempt: RunningAttempt, result: AttemptResult): void {
@@ -203,7 +234,7 @@
       error: result.error,
       reason: result.message,
     });
-    this.report(target, result.end === 'notSent' ? 'lost' : 'failure', null, null);
+    this.report(target, result.end === 'notSent' ? 'lost' : 'failure', NOTHING_STATED);
     if (result.error === 'broken') {
       this.parts.onUnexpectedClose(target.id);
       this.crashes.recordBroken(attempt);
@@ -213,8 +244,7 @@
   private report(
     target: Target,
     observation: ObservationKind,
-    load: AnswerHead['metadata']['load'],
-    coldLeft: number | null,
+    { load, coldLeft, callLimit }: StatedByTarget,
   ): void {
     const { running = null, waiting = null, pace = null } = load ?? {};
     this.parts.onReport({
@@ -225,6 +255,7 @@
       pace,
       observation,
       coldLeft,
+      callLimit,
     });
   }
 
--- a/src/delivery/events.ts
+++ b/src/delivery/events.ts
@@ -12,5 +12,10 @@
     message: 'connection to target failed or ended before a complete answer',
   },
   unexpected: { number: 2207, level: 'error', message: 'unexpected error while a call was served' },
+  unreadableLimit: {
+    number: 2208,
+    level: 'warn',
+    message: 'target states a limit of calls that is not a number; logged once for each target',
+  },
   crash: { number: 2206, level: 'warn', message: 'target crashed while it ran a call' },
 });
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -10,7 +10,7 @@
   type CallRequirements,
   type Candidate,
   chooseTarget,
-  ColdRateLimiter,
+  CallRateLimiter,
   type Placement,
   type QueuedCall,
   WaitQueue,
@@ -47,8 +47,8 @@
   readonly preference: TargetPreference;
   /** Whether there is an idle connection to the target. */
   readonly isConnected: (target: Target) => boolean;
-  /** Calls per second that this host may send to a cold target, out of `rate` for all hosts. */
-  readonly coldShare: (target: Target, rate: number) => number;
+  /** Calls per second that this host may send to a target, out of `rate` for all hosts. */
+  readonly callShare: (target: Target, rate: number) => number;
 }
 
 function workKeyOf(call: IncomingCall): string {
@@ -57,7 +57,7 @@
 
 /** Builds candidates from the state of the targets and places calls on them. */
 export class Placer {
-  private readonly coldRateLimiter: ColdRateLimiter;
+  private readonly rateLimiter: CallRateLimiter;
 
   private readonly pool: TargetPool;
 
@@ -72,7 +72,7 @@
   };
 
   constructor(private readonly parts: PlacerParts) {
-    this.coldRateLimiter = new ColdRateLimiter(parts.clock);
+    this.rateLimiter = new CallRateLimiter(parts.clock);
     this.pool = new TargetPool(parts.zone, parts.random, parts.preference);
   }
 
@@ -81,6 +81,23 @@
    * call that would be late at every target waits.
    */
   place(call: IncomingCall, used: ReadonlySet<string>, mayWait: boolean): Placement {
+    const catalog = this.parts.catalog();
+    const placement = this.choose(call, used, mayWait);
+    if (placement.kind === 'send' && placement.reason !== 'onlyCold') {
+      const target = catalog.targets.get(placement.target)!;
+      const rate = this.callRate(target);
+      if (rate !== Infinity)
+        this.rateLimiter.tryAcquire(target.id, this.parts.callShare(target, rate));
+    }
+    return placement;
+  }
+
+  /** Forgets the targets that are not in the catalog. */
+  applyCatalog(catalog: Catalog): void {
+    this.rateLimiter.retainTargets((target) => catalog.targets.has(target));
+  }
+
+  private choose(call: IncomingCall, used: ReadonlySet<string>, mayWait: boolean): Placement {
     const catalog = this.parts.catalog();
     const isUnused = (target: Target) => !used.has(target.id);
     const preferred = this.pool.preferred(catalog, call.service).filter(isUnused);
@@ -159,6 +176,12 @@
     return index <= 0 ? 0 : index / (ordered.length - 1);
   }
 
+  /** The limit as a log field; JSON has no infinity. */
+  private statedLimit(targetState: TargetStatistics): number | undefined {
+    const limit = this.parts.targetStates.callLimit(targetState);
+    return limit === Infinity ? undefined : limit;
+  }
+
   /** The inputs of a placement, as log fields. */
   explain(call: IncomingCall, placement: Placement): Readonly<Record<string, unknown>> {
     const now = this.parts.clock.now();
@@ -179,10 +202,40 @@
       pace: targetState.pace,
       paceAge: Math.round(now - targetState.paceAt),
       load: this.parts.targetStates.load(targetState),
+      callLimit: this.statedLimit(targetState),
       loadAge: Math.round(now - targetState.loadAt),
     };
   }
 
+  /**
+   * Calls per second that a target takes from all hosts: what it states itself, and the rate of its
+   * service while it is cold. Infinity without a limit.
+   */
+  private callRate(target: Target): number {
+    const { clock, targetStates, catalog } = this.parts;
+    const targetState = targetStates.get(target.id)!;
+    const stated = targetStates.callLimit(targetState);
+    if (targetState.coldUntil <= clock.now()) return stated;
+    return Math.min(stated, catalog().services.get(target.service)?.coldRatePerSecond ?? 0);
+  }
+
+  /** Time until this host may send a call to a target that limits its calls, in milliseconds. */
+  private limitedForMs(target: Target): number {
+    const rate = this.callRate(target);
+    if (rate === Infinity) return 0;
+    return this.rateLimiter.delay(target.id, this.parts.callShare(target, rate));
+  }
+
+  /** Mean time between the calls that all targets of a service allow together, in milliseconds. */
+  callIntervalMs(service: string): number {
+    const { catalog, targetStates } = this.parts;
+    let rate = 0;
+    for (const target of catalog().targetsByService.get(service) ?? [])
+      if (target.state === 'ready' && !catalog().zonesOut.has(target.zone))
+        rate += targetStates.callLimit(targetStates.get(target.id)!);
+    return rate === 0 ? 0 : 1000 / rate;
+  }
+
   private toCandidate(target: Target): Candidate {
     const { clock, targetStates, zone } = this.parts;
     const targetState = targetStates.get(target.id)!;
@@ -198,6 +251,7 @@
       isUnhealthy: targetState.isUnhealthy,
       isConnected: this.parts.isConnected(target),
       isCold: targetState.coldUntil > now,
+      limitedForMs: targetState.coldUntil > now ? 0 : this.limitedForMs(target),
       isUnconfirmed: this.isUnconfirmed(target, targetState, now),
       isUnchecked: isUnchecked(targetState),
     };
@@ -233,14 +287,12 @@
     candidates: readonly Candidate[],
     requirements: CallRequirements,
   ): Placement | null {
-    const service = this.parts.catalog().services.get(call.service);
-    const rate = service?.coldRatePerSecond ?? 0;
     const cold = candidates.filter((candidate) => candidate.isCold && !candidate.isUnconfirmed);
     for (const candidate of cold) {
       if (requirements.leftMs < requirements.workMs) return null;
       const target = this.parts.catalog().targets.get(candidate.target)!;
-      const share = this.parts.coldShare(target, rate);
-      if (!this.coldRateLimiter.tryAcquire(candidate.target, share)) continue;
+      const share = this.parts.callShare(target, this.callRate(target));
+      if (!this.rateLimiter.tryAcquire(candidate.target, share)) continue;
       return {
         kind: 'send',
         target: candidate.target,
--- a/src/delivery/targetProbe.ts
+++ b/src/delivery/targetProbe.ts
@@ -54,6 +54,8 @@
               pace: metadata.load?.pace ?? null,
               observation: isOtherTarget ? 'lost' : observation,
               coldLeft: metadata.coldLeft,
+              // A health check without a limit does not show that calls have none.
+              callLimit: metadata.callLimit === 'unreadable' ? null : metadata.callLimit,
             };
           },
           // The body is discarded; true keeps the answer flowing.
@@ -94,6 +96,7 @@
       pace: null,
       observation,
       coldLeft: null,
+      callLimit: null,
     };
   }
 }
--- a/src/exchange/packedCodec.ts
+++ b/src/exchange/packedCodec.ts
@@ -26,6 +26,10 @@
 // Ages are sent in tenths of a millisecond, remaining cold periods in milliseconds.
 const AGE_UNITS_PER_MS = 10;
 
+const CALL_LIMIT_UNITS = 1000;
+// A higher limit binds no fleet.
+const MAX_SENT_CALL_LIMIT = 1_000_000;
+
 // The index of an observation kind is its value on the wire.
 const OBSERVATION_KINDS: readonly ObservationKind[] = [
   'answer',
@@ -52,6 +56,19 @@
   return value === 0 ? null : value - 1;
 }
 
+// Limits are sent in thousandths of a call per second, incremented by two; 1 stands for no limit.
+function writeCallLimit(writer: BinaryWriter, limit: number | null): void {
+  if (limit === null) writer.uint32(0);
+  else if (limit > MAX_SENT_CALL_LIMIT) writer.uint32(1);
+  else writer.uint32(Math.round(limit * CALL_LIMIT_UNITS) + 2);
+}
+
+function readCallLimit(reader: BinaryReader): number | null {
+  const value = reader.uint32();
+  if (value === 0) return null;
+  return value === 1 ? Infinity : (value - 2) / CALL_LIMIT_UNITS;
+}
+
 function writeReport(writer: BinaryWriter, report: TargetReport): void {
   writer.string(report.target);
   writer.uint32(OBSERVATION_KINDS.indexOf(report.observation));
@@ -59,6 +76,7 @@
   for (const value of [report.running, report.waiting, report.pace, report.coldLeft]) {
     writeOptional(writer, value);
   }
+  writeCallLimit(writer, report.callLimit);
 }
 
 function readReport(reader: BinaryReader): TargetReport {
@@ -70,7 +88,8 @@
   const waiting = readOptional(reader);
   const pace = readOptional(reader);
   const coldLeft = readOptional(reader);
-  return { target, age, running, waiting, pace, observation, coldLeft };
+  const callLimit = readCallLimit(reader);
+  return { target, age, running, waiting, pace, observation, coldLeft, callLimit };
 }
 
 function writeCounts(writer: BinaryWriter, { host, sequence, calls }: InFlightCounts): void {
--- a/src/knowledge/reportBroadcaster.ts
+++ b/src/knowledge/reportBroadcaster.ts
@@ -21,6 +21,9 @@
 // In a large zone the calls to a target change more slowly than its health checks come.
 const LARGE_ZONE_REFRESH_INTERVAL_MS = 400;
 
+// A limit is sent again at this interval, for hosts that have no answer of the target themselves.
+const LIMIT_REFRESH_INTERVAL_MS = 3000;
+
 interface SentPace {
   readonly pace: number;
   readonly at: number;
@@ -45,6 +48,13 @@
   return isLoad ? report.target : `${report.target} ${report.observation}`;
 }
 
+// A later report that says nothing of the limit of the target does not replace what is known of it.
+function addPending(pending: Map<string, PendingReport>, next: PendingReport): void {
+  const key = batchKey(next.report);
+  const callLimit = next.report.callLimit ?? pending.get(key)?.report.callLimit ?? null;
+  pending.set(key, { ...next, report: { ...next.report, callLimit } });
+}
+
 /**
  * Broadcasts the observations of this host in batches with the latest report of each target: all
  * changes to its own zone, larger changes of pace and changes of health to the other zones.
@@ -58,6 +68,8 @@
 
   private readonly lastSameZonePace = new Map<string, SentPace>();
 
+  private readonly lastLimitSentAt = new Map<string, number>();
+
   private sameZoneTimer: Timer | null = null;
 
   private crossZoneTimer: Timer | null = null;
@@ -67,25 +79,40 @@
     private readonly sink: ReportSink,
   ) {}
 
-  /** Queues a report for this zone, and for the other zones if they need it. */
-  enqueue(report: TargetReport): void {
+  /**
+   * Queues a report for this zone, and for the other zones if they need it. With `hasLimitChanged`,
+   * it has another limit of calls than this host knew.
+   */
+  enqueue(report: TargetReport, hasLimitChanged: boolean): void {
     const now = this.clock.now();
     const pending = { report, observedAt: now - report.age };
-    if (!this.mustReportToZone(report, now)) return;
-    this.sameZonePending.set(batchKey(report), pending);
+    const mustReportLimit = this.mustReportLimit(report, hasLimitChanged);
+    if (!this.mustReportToZone(report, now) && !mustReportLimit) return;
+    addPending(this.sameZonePending, pending);
     this.sameZoneTimer ??= this.clock.setTimer(now + this.zoneBatchMs(), () => {
       this.sameZoneTimer = null;
       this.flush(this.sameZonePending, false);
     });
     // Hosts of a large zone use its own targets, so that no other zone needs the report.
-    if (isLargeZone(this.sink.neighbourCount()) || !this.mustReportCrossZone(report)) return;
-    this.crossZonePending.set(batchKey(report), pending);
+    if (isLargeZone(this.sink.neighbourCount())) return;
+    if (!this.mustReportCrossZone(report) && !mustReportLimit) return;
+    addPending(this.crossZonePending, pending);
     this.crossZoneTimer ??= this.clock.setTimer(now + CROSS_ZONE_BATCH_MS, () => {
       this.crossZoneTimer = null;
       this.flush(this.crossZonePending, true);
     });
   }
 
+  // Whether the limit of a target has changed, or holds and was not sent lately.
+  private mustReportLimit({ target, callLimit }: TargetReport, hasLimitChanged: boolean): boolean {
+    const now = this.clock.now();
+    const refreshAt = (this.lastLimitSentAt.get(target) ?? -Infinity) + LIMIT_REFRESH_INTERVAL_MS;
+    const isDue = callLimit !== null && callLimit !== Infinity && now >= refreshAt;
+    if (!hasLimitChanged && !isDue) return false;
+    this.lastLimitSentAt.set(target, now);
+    return true;
+  }
+
   private zoneBatchMs(): number {
     const scaleFactor = Math.max(1, this.sink.receiverCount() / REFERENCE_RECEIVERS);
     return Math.min(MAX_ZONE_BATCH_MS, ZONE_BATCH_MS * scaleFactor ** BATCH_SCALE_EXPONENT);
--- a/src/knowledge/targetReport.ts
+++ b/src/knowledge/targetReport.ts
@@ -9,6 +9,11 @@
   /** Current latency in percent of the usual; null if unknown. */
   readonly pace: number | null;
   readonly observation: ObservationKind;
+  /**
+   * Calls per second that the target takes from all hosts, Infinity if it stated no limit; null when
+   * the observation says nothing of it.
+   */
+  readonly callLimit: number | null;
   /** Remaining warm-up time of the target in milliseconds; null if not reported. */
   readonly coldLeft: number | null;
 }
--- a/src/knowledge/targetStatistics.ts
+++ b/src/knowledge/targetStatistics.ts
@@ -17,6 +17,9 @@
   /** Calls that this host has in flight at the target. */
   ownInFlight: number;
   coldUntil: number;
+  /** Calls per second that the target takes from all hosts, as stated at `callLimitAt`. */
+  callLimit: number;
+  callLimitAt: number;
   /** Share of recent calls that failed, from 0 to 1, as of `failureAt`. */
   failureShare: number;
   failureAt: number;
--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -22,6 +22,11 @@
 // Calls that no host has broadcast, such as those of a partitioned host, are assumed to run for
 // this long unless a later report shows them again.
 const UNATTRIBUTED_CALLS_LIFETIME_MS = 250;
+// Only an answer to a call shows that a limit has ended, so a target is called from time to time.
+const MIN_CALL_LIMIT = 0.2;
+// A limit is forgotten when it was not stated for this long, or in place of this many calls.
+const MIN_CALL_LIMIT_LIFETIME_MS = 10_000;
+const CALL_LIMIT_STATEMENTS = 3;
 // With this many slots left at a target, other hosts must know of a call before they choose it.
 const URGENT_FREE_SLOTS = 1;
 
@@ -79,6 +84,10 @@
     }
     if (report.coldLeft !== null)
       target.coldUntil = Math.max(target.coldUntil, observedAt + report.coldLeft);
+    if (report.callLimit !== null && observedAt >= target.callLimitAt) {
+      target.callLimit = report.callLimit;
+      target.callLimitAt = observedAt;
+    }
     this.applyObservation(target, report, observedAt);
   }
 
@@ -114,6 +123,22 @@
     return target.ownInFlight + this.inFlightTable.callsAt(target.key) + unattributedCalls;
   }
 
+  /**
+   * Calls per second that the target takes from all hosts; Infinity without a limit. A limit that was
+   * not stated again for some time is no longer known to hold.
+   */
+  callLimit({ callLimit, callLimitAt }: TargetStatistics): number {
+    const rate = Math.max(callLimit, MIN_CALL_LIMIT);
+    const lifetimeMs = Math.max(MIN_CALL_LIMIT_LIFETIME_MS, (1000 * CALL_LIMIT_STATEMENTS) / rate);
+    return this.clock.now() - callLimitAt < lifetimeMs ? rate : Infinity;
+  }
+
+  /** Whether a report states another limit of calls than is known. */
+  hasOtherLimit({ target, callLimit }: TargetReport): boolean {
+    const known = this.statistics.get(target)?.callLimit;
+    return callLimit !== null && known !== undefined && callLimit !== known;
+  }
+
   /** Share of recent calls that failed, decayed by the time since the last result. */
   failureShare(target: TargetStatistics): number {
     const age = this.clock.now() - target.failureAt;
@@ -170,6 +195,8 @@
       paceAt: -Infinity,
       ownInFlight: previous?.ownInFlight ?? 0,
       coldUntil: target.coldUntil,
+      callLimit: Infinity,
+      callLimitAt: -Infinity,
       failureShare: 0,
       failureAt: now,
       confirmedHealthyAt: -Infinity,
--- /dev/null
+++ b/src/placement/callRateLimiter.ts
@@ -0,0 +1,36 @@
+import { type Clock } from '../runtime';
+
+const WINDOW_MS = 1000;
+
+/** Limits the calls per second that this host sends to each target, over a sliding window. */
+export class CallRateLimiter {
+  private readonly sendTimes = new Map<string, readonly number[]>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /**
+   * Time in milliseconds until a call may be sent to `target` at `callsPerSecond`; Infinity at 0. A
+   * rate below one allows one call in a window that is longer by as much.
+   */
+  delay(target: string, callsPerSecond: number): number {
+    if (callsPerSecond <= 0) return Infinity;
+    const maxCalls = Math.max(1, Math.floor(callsPerSecond));
+    const windowMs = WINDOW_MS * Math.max(1, 1 / callsPerSecond);
+    const last = this.sendTimes.get(target)?.at(-maxCalls);
+    return last === undefined ? 0 : Math.max(0, last + windowMs - this.clock.now());
+  }
+
+  /** Acquires one call to `target` unless it must wait. */
+  tryAcquire(target: string, callsPerSecond: number): boolean {
+    if (this.delay(target, callsPerSecond) > 0) return false;
+    const maxCalls = Math.max(1, Math.floor(callsPerSecond));
+    const earlier = this.sendTimes.get(target) ?? [];
+    this.sendTimes.set(target, [...earlier, this.clock.now()].slice(-maxCalls));
+    return true;
+  }
+
+  /** Removes the state of targets for which `has` is false. */
+  retainTargets(has: (target: string) => boolean): void {
+    for (const target of this.sendTimes.keys()) if (!has(target)) this.sendTimes.delete(target);
+  }
+}
--- a/src/placement/candidate.ts
+++ b/src/placement/candidate.ts
@@ -17,6 +17,8 @@
   /** Whether this host holds an idle open connection to the target. */
   readonly isConnected: boolean;
   readonly isCold: boolean;
+  /** Time in milliseconds until the limit of the target allows this host a call. */
+  readonly limitedForMs: number;
   /** Whether no success was observed since the target became unreachable; it may have restarted. */
   readonly isUnconfirmed: boolean;
   /** Whether it is unconfirmed only because its first health check is still awaited. */
--- a/src/placement/chooseTarget.ts
+++ b/src/placement/chooseTarget.ts
@@ -40,6 +40,9 @@
 // one in time, and a caller that is refused earlier still has time to try another host.
 const MAX_LATE_WAIT_OBJECTIVES = 0.5;
 
+// A call waits for the limit of a target to allow it for at most this share of its objective.
+const MAX_LIMITED_WAIT_OBJECTIVES = 1 / 8;
+
 interface RatedCandidate {
   readonly candidate: Candidate;
   readonly expectedMs: number;
@@ -100,7 +103,8 @@
 
 /**
  * Chooses the target with the lowest cost: expected time plus penalties for distance, failures and
- * unhealthy targets, and random jitter. Cold targets and those that may have restarted are skipped.
+ * unhealthy targets, and random jitter. Cold targets, those that may have restarted and those whose
+ * limit is used up are skipped.
  */
 export function chooseTarget(
   candidates: readonly Candidate[],
@@ -110,14 +114,23 @@
   let best: RatedCandidate | null = null;
   let hasCold = false;
   let hasUnchecked = false;
+  let limitedForMs: number | null = null;
   for (const candidate of candidates) {
     if (candidate.isCold) hasCold = true;
     if (candidate.isUnchecked) hasUnchecked = true;
     if (candidate.isCold || candidate.isUnconfirmed) continue;
+    if (candidate.limitedForMs > 0) {
+      limitedForMs = Math.min(limitedForMs ?? Infinity, candidate.limitedForMs);
+      continue;
+    }
     const rated = rateCandidate(candidate, requirements, random);
     if (best === null || rated.cost < best.cost) best = rated;
   }
   if (best === null) {
+    if (limitedForMs !== null && !hasCold) {
+      const mayWait = limitedForMs <= requirements.objectiveMs * MAX_LIMITED_WAIT_OBJECTIVES;
+      return { kind: mayWait ? 'wait' : 'refuse', reason: 'limited', best: null };
+    }
     const withoutCold = hasUnchecked ? 'unchecked' : 'noTarget';
     return { kind: 'wait', reason: hasCold ? 'allCold' : withoutCold, best: null };
   }
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -10,4 +10,4 @@
 export { WaitQueue, type QueuedCall } from './waitQueue';
 export { retryAfter } from './retryAfter';
 export { RetryBudget, type RetryBudgetLimits } from './retryBudget';
-export { ColdRateLimiter } from './coldRateLimiter';
+export { CallRateLimiter } from './callRateLimiter';
--- a/src/placement/refusalReason.ts
+++ b/src/placement/refusalReason.ts
@@ -5,6 +5,8 @@
   /** All usable targets are new and await their first health check. */
   | 'unchecked'
   | 'allCold'
+  /** The limits of all usable targets are used up. */
+  | 'limited'
   | 'overloaded'
   /** Targets with free slots refused to run it. */
   | 'refused'
--- a/src/placement/retryAfter.ts
+++ b/src/placement/retryAfter.ts
@@ -12,6 +12,8 @@
   readonly workMs: number;
   /** Rank among the priorities of the service; 0 is the most urgent. */
   readonly rank: number;
+  /** Mean time between the calls that the limits of the targets allow, in milliseconds. */
+  readonly callIntervalMs: number;
 }
 
 type DelayRange = readonly [minMs: number, maxMs: number];
@@ -23,6 +25,11 @@
   noTarget: () => [100, 400],
   unchecked: () => [100, 400],
   allCold: () => [200, 600],
+  // Another host may have the next call; urgent calls return first.
+  limited: ({ callIntervalMs, rank }) => [
+    callIntervalMs * (1 + rank),
+    callIntervalMs * (3 + 2 * rank),
+  ],
   // A queue of one call per slot drains within the time of one call; urgent calls return first.
   overloaded: ({ workMs, rank }) => [workMs * (0.5 + 0.5 * rank), workMs * (1.5 + rank)],
   // Targets that refuse despite free slots may accept the next call; waiting would make it late.
--- a/standins/fleet/fleetModel.ts
+++ b/standins/fleet/fleetModel.ts
@@ -92,6 +92,7 @@
       targets: this.targets,
       hostCount: Math.max(20, this.totalHostCount()),
       neighbourCount: options.hosts[options.zones.indexOf(zone)]! - 1,
+      zoneHosts: () => this.hosts.filter((other) => other.zone === zone).map((other) => other.id),
       workMsOf: (call) => {
         this.attempts += 1;
         return this.callers.workMsOf(call);
@@ -143,7 +144,7 @@
         const { running, waiting } = model.load();
         prober.observe({
           ...{ target: model.target.id, age: 0, running, waiting, pace: model.pace() },
-          ...{ observation: 'probe' as const, coldLeft: null },
+          ...{ observation: 'probe' as const, coldLeft: null, callLimit: null },
         });
         this.clock.setTimer(this.clock.now() + PROBE_INTERVAL_MS + PROBE_DURATION_MS, probe);
       };
@@ -164,8 +165,13 @@
     const all = [...this.targets.values()];
     const [slow] = this.disturbances.active('slow');
     const [grey] = this.disturbances.active('grey');
+    const [limited] = this.disturbances.active('limited');
     all.forEach((target, index) => {
       const position = (index * GOLDEN_RATIO_FRACTION) % 1;
+      const isLimited =
+        limited?.service === target.target.service &&
+        (position < limited.share || limited.share === 1);
+      target.stateLimit(isLimited ? limited.perSecond : null, now);
       target.slowFactor = slow !== undefined && position < slow.share ? slow.factor : 1;
       target.greyFailure = grey !== undefined && position < grey.share ? grey.how : null;
     });
@@ -184,6 +190,7 @@
       attempts: this.attempts,
       messages: this.messages,
       queued: models.reduce((total, model) => total + model.queued, 0),
+      maxCallsOverLimit: Math.max(...models.map((model) => model.maxCallsOverLimit)),
       rejected: models.reduce((total, model) => total + model.rejected, 0),
     };
   }
--- a/standins/fleet/modelAttempt.ts
+++ b/standins/fleet/modelAttempt.ts
@@ -33,7 +33,9 @@
   start(): void {
     this.sentAt = this.parts.clock.now();
     this.afterDelay(() => {
-      if (!this.hasEnded) this.parts.model.accept(this.job);
+      if (this.hasEnded) return;
+      this.parts.model.recordArrival(this.parts.clock.now());
+      this.parts.model.accept(this.job);
     });
   }
 
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -1,3 +1,4 @@
+import { callShare } from '../../src/balancer';
 import { type Catalog, type Target } from '../../src/catalog';
 import {
   type AnswerHead,
@@ -34,6 +35,8 @@
   readonly targets: ReadonlyMap<string, ModelTarget>;
   readonly hostCount: number;
   readonly neighbourCount: number;
+  /** Ids of the hosts of the zone, including this one. */
+  readonly zoneHosts: () => readonly string[];
   readonly workMsOf: (call: IncomingCall) => number;
   /** One-way network delay between two zones. */
   readonly oneWayDelayMs: (from: string, to: string) => number;
@@ -88,7 +91,12 @@
       lastSlotSlowdowns: new LastSlotSlowdowns(),
       preference: { has: () => true, version: () => 0 },
       isConnected: () => true,
-      coldShare: () => 1,
+      callShare: (target, rate) =>
+        callShare(target.id, target.zone === zone, rate, {
+          hostId: id,
+          zoneHosts: environment.zoneHosts(),
+          maxLiveHostCount: environment.hostCount,
+        }),
     });
     this.delivery = new Delivery({
       ...{ clock, random, events, placer, catalog, targetStates: this.targetStates },
@@ -145,8 +153,9 @@
 
   /** Applies an observation of this host and broadcasts it. */
   observe(report: TargetReport): void {
+    const hasLimitChanged = this.targetStates.hasOtherLimit(report);
     this.targetStates.applyReport(report);
-    this.reportBroadcaster.enqueue(report);
+    this.reportBroadcaster.enqueue(report, hasLimitChanged);
   }
 
   private transmit(call: IncomingCall, target: Target, observer: AttemptObserver): RunningAttempt {
@@ -173,6 +182,7 @@
     const status = { done: 200, failed: 500, refused: 503, reset: 0 }[kind];
     const metadata = {
       ...{ callId: call.id, isSigned: true, isNotRun: kind === 'refused', coldLeft: null },
+      callLimit: model.statedLimit,
       ...{ load: { ...model.load(), pace: model.pace() }, target: model.target.id },
     };
     return { status, headers: NO_HEADERS, metadata };
--- a/standins/fleet/modelOptions.ts
+++ b/standins/fleet/modelOptions.ts
@@ -48,6 +48,15 @@
       readonly share: number;
       readonly how: 'failed' | 'refused';
     }
+  /** A share of the targets of a service limits the calls per second that it takes. */
+  | {
+      readonly kind: 'limited';
+      readonly at: number;
+      readonly until: number;
+      readonly service: string;
+      readonly share: number;
+      readonly perSecond: number;
+    }
   /** Callers retry refused calls at once instead of after the time they were given. */
   | { readonly kind: 'impatient'; readonly at: number; readonly until: number };
 
--- a/standins/fleet/modelReport.ts
+++ b/standins/fleet/modelReport.ts
@@ -19,6 +19,8 @@
   readonly messages: number;
   /** Calls that were queued at their target for want of a free slot. */
   readonly queued: number;
+  /** Largest number of calls in 4 s at a target beyond 1.5 times its limit. */
+  readonly maxCallsOverLimit: number;
   /** Calls that were reset or refused by a full target. */
   readonly rejected: number;
 }
--- a/standins/fleet/modelTarget.ts
+++ b/standins/fleet/modelTarget.ts
@@ -12,6 +12,8 @@
   readonly onEnd: (end: ModelEnd) => void;
 }
 
+const LIMIT_WINDOW_MS = 4000;
+const LIMIT_GRACE_MS = 3000;
 // Work of a call that a target in gray failure ends.
 const FAILURE_MS = 5;
 
@@ -32,6 +34,16 @@
   /** Slowdown in addition to the noise. */
   slowFactor = 1;
 
+  /** Calls per second that the target states to take; null without a limit. */
+  statedLimit: number | null = null;
+
+  /** Largest number of calls within 4 s beyond 1.5 times the limit, from 3 s after it was stated. */
+  maxCallsOverLimit = -Infinity;
+
+  private limitedSince: number | null = null;
+
+  private arrivals: number[] = [];
+
   private running: ModelJob[] = [];
 
   private readonly waiting: ModelJob[] = [];
@@ -76,6 +88,23 @@
     }
   }
 
+  /** States a limit of calls, or none, from now on. */
+  stateLimit(limit: number | null, now: number): void {
+    if (limit === this.statedLimit) return;
+    this.statedLimit = limit;
+    this.limitedSince = limit === null ? null : now;
+    this.arrivals = [];
+  }
+
+  /** Counts a call against the limit. */
+  recordArrival(now: number): void {
+    const { statedLimit, limitedSince } = this;
+    if (statedLimit === null || now < limitedSince! + LIMIT_GRACE_MS) return;
+    this.arrivals = [...this.arrivals.filter((at) => now - at < LIMIT_WINDOW_MS), now];
+    const allowed = (1.5 * statedLimit * LIMIT_WINDOW_MS) / 1000;
+    this.maxCallsOverLimit = Math.max(this.maxCallsOverLimit, this.arrivals.length - allowed);
+  }
+
   /** Removes a call whose connection was closed. */
   cancel(job: ModelJob): void {
     this.running = this.running.filter((other) => other !== job);
--- a/test/balancer/malformedBytes.test.ts
+++ b/test/balancer/malformedBytes.test.ts
@@ -38,7 +38,7 @@
     reports: [
       {
         ...{ target: 'i-read', age: 0, running: 1, waiting: 0, pace: 100 },
-        ...{ observation: 'answer', coldLeft: null },
+        ...{ observation: 'answer', coldLeft: null, callLimit: null },
       },
     ],
   },
--- a/test/exchange/datagramCodec.test.ts
+++ b/test/exchange/datagramCodec.test.ts
@@ -11,13 +11,14 @@
   pace: 700,
   observation: 'refusal',
   coldLeft: null,
+  callLimit: 4.8,
 };
 
 const MESSAGES: readonly Message[] = [
   {
     kind: 'reports',
     shouldRebroadcast: true,
-    reports: [REPORT, { ...REPORT, running: null, coldLeft: 0 }],
+    reports: [REPORT, { ...REPORT, running: null, coldLeft: 0, callLimit: Infinity }],
   },
   {
     kind: 'flights',
--- a/test/exchange/exchange.test.ts
+++ b/test/exchange/exchange.test.ts
@@ -191,6 +191,7 @@
     const report = {
       ...{ target: 't', age: 0, running: 1, waiting: 0, pace: 700, observation: 'probe' as const },
       coldLeft: null,
+      callLimit: null,
     };
     const [sender] = network.liveHosts();
     sender!.exchange.broadcastReports([report], false);
--- a/test/knowledge/largeZone.test.ts
+++ b/test/knowledge/largeZone.test.ts
@@ -17,7 +17,7 @@
 
 function report(age: number, running: number): TargetReport {
   return {
-    ...{ target: 't1', age, running, waiting: 0, pace: 100, coldLeft: null },
+    ...{ target: 't1', age, running, waiting: 0, pace: 100, coldLeft: null, callLimit: null },
     observation: 'probe',
   };
 }
@@ -45,7 +45,7 @@
   });
   for (let at = 0; at < 2000; at += 5) {
     clock.advanceTo(at);
-    broadcaster.enqueue({ ...report(0, 1), pace: at % 10 === 0 ? 100 : 700 });
+    broadcaster.enqueue({ ...report(0, 1), pace: at % 10 === 0 ? 100 : 700 }, false);
   }
   return sent;
 }
--- a/test/load/loadPatterns.test.ts
+++ b/test/load/loadPatterns.test.ts
@@ -42,6 +42,8 @@
   return kinds.every((kind) => (kind.calls - kind.unserved) / kind.calls >= served / 4);
 }
 
+const LIMITED = { kind: 'limited', at: 1, until: 8, service: 'round-sheets' } as const;
+
 const BURST: readonly ModelDisturbance[] = [{ kind: 'burst', at: 2, until: 7, factor: 1.7 }];
 
 // Each test simulates one load with the product's decisions on modelled targets, and the same load
@@ -106,4 +108,29 @@
     },
     60_000,
   );
+
+  // Load pattern: 70% of the targets of a service state how many calls per second they take from all
+  // hosts. Guards against hosts that keep sending what they sent before.
+  it.each([0.4, 2.4, 5.1])(
+    'keeps the limits that targets state, %d calls per second each',
+    async (perSecond) => {
+      const { product, naive } = await compare(ROUNDS, [{ ...LIMITED, share: 0.7, perSecond }]);
+      expect(naive.maxCallsOverLimit).toBeGreaterThan(5);
+      expect(product.maxCallsOverLimit).toBeLessThanOrEqual(5);
+    },
+    60_000,
+  );
+
+  // Load pattern: all targets of a service limit their calls at once, during a burst. Guards against
+  // limits that are exceeded when nothing else is left, and against kinds of calls that starve.
+  it('keeps the limits of all targets of a service, and serves the urgent calls first', async () => {
+    const { product } = await compare(ROUNDS, [{ ...LIMITED, share: 1, perSecond: 5.1 }, ...BURST]);
+    expect(product.maxCallsOverLimit).toBeLessThanOrEqual(5);
+    const servedShare = (kind: string) => {
+      const { calls, unserved: missed } = product.kinds[kind]!;
+      return (calls - missed) / calls;
+    };
+    expect(servedShare('flood-watch')).toBeGreaterThan(servedShare('pit-lookup'));
+    expect(isServedAQuarterAsOftenAsAll(product)).toBe(true);
+  }, 60_000);
 });
--- a/test/placement/chooseTarget.test.ts
+++ b/test/placement/chooseTarget.test.ts
@@ -20,6 +20,7 @@
     isCold: false,
     isUnconfirmed: false,
     isUnchecked: false,
+    limitedForMs: 0,
     ...over,
   };
 }
--- a/test/placement/otherDecisions.test.ts
+++ b/test/placement/otherDecisions.test.ts
@@ -1,6 +1,6 @@
-import { ColdRateLimiter, decideRetry, retryAfter, shouldHedge } from '../../src/placement';
+import { CallRateLimiter, decideRetry, retryAfter, shouldHedge } from '../../src/placement';
 import { ManualClock, SeededRandom } from '../../src/runtime';
-import { coldShare } from '../../src/balancer/coldShare';
+import { callShare } from '../../src/balancer/callShare';
 
 const RETRY_INPUT = {
   isIdempotent: true,
@@ -54,7 +54,7 @@
   // Guards against a delay that callers do not honour, and against callers that return all at once.
   it('is randomized and at most a third of the time left', () => {
     const random = new SeededRandom(3);
-    const input = { leftMs: 600, workMs: 100, rank: 0 };
+    const input = { leftMs: 600, workMs: 100, rank: 0, callIntervalMs: 0 };
     const times = Array.from({ length: 100 }, () => retryAfter('overloaded', input, random));
     expect(Math.max(...times)).toBeLessThanOrEqual(200);
     expect(Math.max(...times) - Math.min(...times)).toBeGreaterThan(50);
@@ -62,7 +62,7 @@
 
   // Load pattern: all targets refuse a share of their calls at once although they have free slots.
   it('is short when targets refused a call without being full', () => {
-    const input = { leftMs: 1000, workMs: 100, rank: 1 };
+    const input = { leftMs: 1000, workMs: 100, rank: 1, callIntervalMs: 0 };
     expect(retryAfter('refused', input, new SeededRandom(3))).toBeLessThanOrEqual(40);
   });
 
@@ -72,7 +72,11 @@
     const mean = (rank: number) => {
       let sum = 0;
       for (let turn = 0; turn < 200; turn += 1) {
-        sum += retryAfter('overloaded', { leftMs: 3000, workMs: 100, rank }, random);
+        sum += retryAfter(
+          'overloaded',
+          { leftMs: 3000, workMs: 100, rank, callIntervalMs: 0 },
+          random,
+        );
       }
       return sum / 200;
     };
@@ -92,7 +96,7 @@
       const misses = random.next() * 0.3;
       const zone = ids.filter((_, other) => other % 3 === index % 3);
       const zoneHosts = zone.filter((id) => id === hostId || random.next() > misses);
-      sum += coldShare('target', index % 3 === 0, rate, {
+      sum += callShare('target', index % 3 === 0, rate, {
         hostId,
         zoneHosts,
         maxLiveHostCount: size,
@@ -104,17 +108,46 @@
   // Guards against a partitioned host that uses the shares of all other hosts.
   it('get no calls from a host that sees no other host of a large fleet', () => {
     const fleet = { hostId: 'host-1', zoneHosts: ['host-1'], maxLiveHostCount: 113 };
-    expect(coldShare('target', true, 21, fleet)).toBe(0);
+    expect(callShare('target', true, 21, fleet)).toBe(0);
   });
 
   // Guards against two calls of one host at the start and the end of the same second.
   it('get at most the share of this host in any second', () => {
     const clock = new ManualClock();
-    const limiter = new ColdRateLimiter(clock);
+    const limiter = new CallRateLimiter(clock);
     expect(limiter.tryAcquire('t', 1)).toBe(true);
     clock.advanceBy(900);
     expect(limiter.tryAcquire('t', 1)).toBe(false);
     clock.advanceBy(101);
     expect(limiter.tryAcquire('t', 1)).toBe(true);
   });
+
+  // Guards against a share that rounds to zero on every host, and against one of a call per second on
+  // every host.
+  it.each([
+    [17, 0.4],
+    [17, 5.1],
+    [113, 2.1],
+    [312, 0.7],
+  ])('share out the whole of a low rate among %d hosts, %d calls per second', (size, rate) => {
+    const ids = Array.from({ length: size }, (_, index) => `host-${index}`);
+    const zoneHosts = ids.filter((_, index) => index % 3 === 0);
+    const shares = ids.map((hostId, index) =>
+      callShare('target', index % 3 === 0, rate, { hostId, zoneHosts, maxLiveHostCount: size }),
+    );
+    expect(shares.reduce((sum, share) => sum + share, 0)).toBeCloseTo(rate);
+  });
+
+  // Guards against a share below one call per second that is used as one.
+  it('get calls at a rate below one per second', () => {
+    const clock = new ManualClock();
+    const limiter = new CallRateLimiter(clock);
+    let calls = 0;
+    for (let step = 0; step < 1000; step += 1) {
+      if (limiter.tryAcquire('t', 0.4)) calls += 1;
+      clock.advanceBy(10);
+    }
+    expect(calls).toBe(4);
+    expect(limiter.delay('t', 0)).toBe(Infinity);
+  });
 });
