Keep pulling the catalog after an unexpected error

Cause: read-through of the change of pulls. Result: "pulls again after changes that could not be applied" fails on the code before and passes.

--- a/src/exchange/catalogPuller.ts
+++ b/src/exchange/catalogPuller.ts
@@ -92,7 +92,9 @@
   }
 
   private startPull(holder: KnownHost): void {
-    const ended = this.pull(holder).finally(() => this.pulls.delete(holder.id));
+    const ended = this.pull(holder)
+      .catch((error: unknown) => this.logFailure(holder, error))
+      .finally(() => this.pulls.delete(holder.id));
     this.pulls.set(holder.id, ended);
   }
 
@@ -110,6 +112,12 @@
     if (newerRecords.length > 0) this.parts.onPulled();
   }
 
+  // An unexpected error must not end the task, or this host would never catch up again.
+  private logFailure(holder: KnownHost, error: unknown): void {
+    this.pulledStates.set(holder.id, describeState(holder));
+    this.parts.events.emit(EXCHANGE_EVENTS.pullFailed, { peer: holder.id, reason: String(error) });
+  }
+
   private logPulled(holder: KnownHost, changes: CatalogChanges, newerRecords: number): void {
     const { clock, events, ledger } = this.parts;
     events.emit(EXCHANGE_EVENTS.pulled, {
--- a/test/exchange/exchange.test.ts
+++ b/test/exchange/exchange.test.ts
@@ -184,6 +184,24 @@
     },
   );
 
+  // Guards against a host that stops pulling for good because of an unexpected error.
+  it('pulls again after changes that could not be applied', async () => {
+    const network = build(3, 3, ['a']);
+    await network.advance(2500);
+    const [reader, host] = network.liveHosts();
+    let isBroken = true;
+    host!.ledger.onChange(() => {
+      if (isBroken) throw new Error('a listener failed');
+    });
+    reader!.ledger.apply({ after: null, asOf: 5, records: [record('k', 5)] });
+    await network.advance(1500);
+    isBroken = false;
+    reader!.ledger.apply({ after: 5, asOf: 6, records: [record('l', 6)] });
+    await network.advance(1500);
+    expect(host!.ledger.catalog().asOf).toBe(6);
+    expect(host!.ledger.catalog().zonesOut.size).toBe(2);
+  });
+
   // Guards against reports that do not reach a zone, or that reach a host more than twice.
   it('delivers a report of a changed pace to every host once or twice', async () => {
     const network = build(17, 2);
