Remember the limit that a target stated for a minute

In a large zone hosts that do not use a target are not told its limit; each would have called it again 10 s after its last answer, 62 hosts 6 times a second, beyond a limit of 2 (calculated, not played). Change: a limit that is not stated again is forgotten after a minute. Its end is told at once, as before.

--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -25,7 +25,7 @@
 // Only an answer to a call shows that a limit has ended, so a target is called from time to time.
 const MIN_CALL_LIMIT = 0.2;
 // A limit is forgotten when it was not stated for this long, or in place of this many calls.
-const MIN_CALL_LIMIT_LIFETIME_MS = 10_000;
+const MIN_CALL_LIMIT_LIFETIME_MS = 60_000;
 const CALL_LIMIT_STATEMENTS = 3;
 // With this many slots left at a target, other hosts must know of a call before they choose it.
 const URGENT_FREE_SLOTS = 1;
