Count a call against the rate of its target when it is sent, not when it is placed

Change: placing a call only asks for the delay; the start of an attempt records it. A constant without effect is gone.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -300,6 +300,7 @@
     this.ledger.onChange((catalog) => {
       this.targetStates.applyCatalog(catalog);
       this.subsets.applyCatalog(catalog);
+      this.reportBroadcaster.retainTargets((target) => catalog.targets.has(target));
       this.delivery.applyCatalog(catalog);
       this.probes.applyCatalog(catalog);
       this.calls.applyCatalog(catalog);
--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -147,6 +147,7 @@
     const attempt = this.context.openAttempt(this.call, targetId, (ended, result) =>
       this.mailbox.put({ kind: 'ended', attempt: ended, result }),
     );
+    this.context.placer.recordSent(targetId);
     if (this.triedTargets.size === 0) this.context.recordFirstAttempt(this.call.service);
     this.triedTargets.add(targetId);
     this.runningAttempts.add(attempt);
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -81,23 +81,6 @@
    * call that would be late at every target waits.
    */
   place(call: IncomingCall, used: ReadonlySet<string>, mayWait: boolean): Placement {
-    const catalog = this.parts.catalog();
-    const placement = this.choose(call, used, mayWait);
-    if (placement.kind === 'send' && placement.reason !== 'onlyCold') {
-      const target = catalog.targets.get(placement.target)!;
-      const rate = this.callRate(target);
-      if (rate !== Infinity)
-        this.rateLimiter.tryAcquire(target.id, this.parts.callShare(target, rate));
-    }
-    return placement;
-  }
-
-  /** Forgets the targets that are not in the catalog. */
-  applyCatalog(catalog: Catalog): void {
-    this.rateLimiter.retainTargets((target) => catalog.targets.has(target));
-  }
-
-  private choose(call: IncomingCall, used: ReadonlySet<string>, mayWait: boolean): Placement {
     const catalog = this.parts.catalog();
     const isUnused = (target: Target) => !used.has(target.id);
     const preferred = this.pool.preferred(catalog, call.service).filter(isUnused);
@@ -109,6 +92,18 @@
     return this.placeAmong([...preferred, ...others], call, requirements);
   }
 
+  /** Counts a call that is sent to a target against the rate of the target. */
+  recordSent(targetId: string): void {
+    const target = this.parts.catalog().targets.get(targetId);
+    if (target === undefined || this.callRate(target) === Infinity) return;
+    this.rateLimiter.record(targetId);
+  }
+
+  /** Forgets the targets that are not in the catalog. */
+  applyCatalog(catalog: Catalog): void {
+    this.rateLimiter.retainTargets((target) => catalog.targets.has(target));
+  }
+
   private placeAmong(
     targets: readonly Target[],
     call: IncomingCall,
@@ -291,8 +286,7 @@
     for (const candidate of cold) {
       if (requirements.leftMs < requirements.workMs) return null;
       const target = this.parts.catalog().targets.get(candidate.target)!;
-      const share = this.parts.callShare(target, this.callRate(target));
-      if (!this.rateLimiter.tryAcquire(candidate.target, share)) continue;
+      if (this.limitedForMs(target) > 0) continue;
       return {
         kind: 'send',
         target: candidate.target,
--- a/src/knowledge/reportBroadcaster.ts
+++ b/src/knowledge/reportBroadcaster.ts
@@ -113,6 +113,12 @@
     return true;
   }
 
+  /** Removes the state of targets for which `has` is false. */
+  retainTargets(has: (target: string) => boolean): void {
+    for (const sent of [this.lastCrossZonePace, this.lastSameZonePace, this.lastLimitSentAt])
+      for (const target of sent.keys()) if (!has(target)) sent.delete(target);
+  }
+
   private zoneBatchMs(): number {
     const scaleFactor = Math.max(1, this.sink.receiverCount() / REFERENCE_RECEIVERS);
     return Math.min(MAX_ZONE_BATCH_MS, ZONE_BATCH_MS * scaleFactor ** BATCH_SCALE_EXPONENT);
--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -24,9 +24,8 @@
 const UNATTRIBUTED_CALLS_LIFETIME_MS = 250;
 // Only an answer to a call shows that a limit has ended, so a target is called from time to time.
 const MIN_CALL_LIMIT = 0.2;
-// A limit is forgotten when it was not stated for this long, or in place of this many calls.
-const MIN_CALL_LIMIT_LIFETIME_MS = 60_000;
-const CALL_LIMIT_STATEMENTS = 3;
+// A limit is forgotten when it was not stated for this long.
+const CALL_LIMIT_LIFETIME_MS = 60_000;
 // With this many slots left at a target, other hosts must know of a call before they choose it.
 const URGENT_FREE_SLOTS = 1;
 
@@ -128,9 +127,8 @@
    * not stated again for some time is no longer known to hold.
    */
   callLimit({ callLimit, callLimitAt }: TargetStatistics): number {
-    const rate = Math.max(callLimit, MIN_CALL_LIMIT);
-    const lifetimeMs = Math.max(MIN_CALL_LIMIT_LIFETIME_MS, (1000 * CALL_LIMIT_STATEMENTS) / rate);
-    return this.clock.now() - callLimitAt < lifetimeMs ? rate : Infinity;
+    const isKnown = this.clock.now() - callLimitAt < CALL_LIMIT_LIFETIME_MS;
+    return isKnown ? Math.max(callLimit, MIN_CALL_LIMIT) : Infinity;
   }
 
   /** Whether a report states another limit of calls than is known. */
--- a/src/placement/callRateLimiter.ts
+++ b/src/placement/callRateLimiter.ts
@@ -20,13 +20,11 @@
     return last === undefined ? 0 : Math.max(0, last + windowMs - this.clock.now());
   }
 
-  /** Acquires one call to `target` unless it must wait. */
-  tryAcquire(target: string, callsPerSecond: number): boolean {
-    if (this.delay(target, callsPerSecond) > 0) return false;
-    const maxCalls = Math.max(1, Math.floor(callsPerSecond));
-    const earlier = this.sendTimes.get(target) ?? [];
-    this.sendTimes.set(target, [...earlier, this.clock.now()].slice(-maxCalls));
-    return true;
+  /** Records a call that is sent to `target` now. */
+  record(target: string): void {
+    const now = this.clock.now();
+    const recent = (this.sendTimes.get(target) ?? []).filter((at) => now - at < WINDOW_MS);
+    this.sendTimes.set(target, [...recent, now]);
   }
 
   /** Removes the state of targets for which `has` is false. */
--- a/test/placement/otherDecisions.test.ts
+++ b/test/placement/otherDecisions.test.ts
@@ -84,6 +84,12 @@
   });
 });
 
+function tryAcquire(limiter: CallRateLimiter, callsPerSecond: number): boolean {
+  if (limiter.delay('t', callsPerSecond) > 0) return false;
+  limiter.record('t');
+  return true;
+}
+
 describe('cold targets', () => {
   // Guards against hosts that together send more calls to a cold target than it can handle: 4 hosts
   // see the whole fleet, the others see parts of it, and some have just started.
@@ -115,11 +121,11 @@
   it('get at most the share of this host in any second', () => {
     const clock = new ManualClock();
     const limiter = new CallRateLimiter(clock);
-    expect(limiter.tryAcquire('t', 1)).toBe(true);
+    expect(tryAcquire(limiter, 1)).toBe(true);
     clock.advanceBy(900);
-    expect(limiter.tryAcquire('t', 1)).toBe(false);
+    expect(tryAcquire(limiter, 1)).toBe(false);
     clock.advanceBy(101);
-    expect(limiter.tryAcquire('t', 1)).toBe(true);
+    expect(tryAcquire(limiter, 1)).toBe(true);
   });
 
   // Guards against a share that rounds to zero on every host, and against one of a call per second on
@@ -144,7 +150,7 @@
     const limiter = new CallRateLimiter(clock);
     let calls = 0;
     for (let step = 0; step < 1000; step += 1) {
-      if (limiter.tryAcquire('t', 0.4)) calls += 1;
+      if (tryAcquire(limiter, 0.4)) calls += 1;
       clock.advanceBy(10);
     }
     expect(calls).toBe(4);
