Ask further holders for a catalog change until one replies

Traced: all three holders that host-99 asked lost the request, and it waited 600 ms for the first of them while seven others held the change. Change: a further holder is asked each 100 ms until the first request times out, six instead of three.

--- a/src/exchange/catalogPuller.ts
+++ b/src/exchange/catalogPuller.ts
@@ -15,7 +15,7 @@
 const MAX_PULL_SPREAD_MS = 200;
 // A holder that has not replied by then may be busy or unreachable; another one is asked as well.
 const NEXT_HOLDER_DELAY_MS = 100;
-const MAX_PARALLEL_PULLS = 3;
+const MAX_PARALLEL_PULLS = 6;
 
 /** Dependencies and callbacks of `CatalogPuller`. */
 export interface CatalogPullerParts {
