Compress the reply of a test before its request is sent

The stand-in compressed 20 MiB in its handler, in the process of the client: 91 to 94 ms of the 200 ms until the deadline on a free core, so that beside load the reply began too late. Change: the reply is compressed before; the check and the deadline are the same.

--- a/test/transport/jsonClient.test.ts
+++ b/test/transport/jsonClient.test.ts
@@ -68,10 +68,12 @@
   // Guards against a peer whose reply has no end: memory and time must stay bounded.
   it.each(['plain', 'compressed'])('rejects a reply that is too large: %s', async (form) => {
     const block = Buffer.alloc(1024 * 1024, 32);
+    // Compressed beforehand, so that it does not take up the time until the deadline.
+    const compressed = gzipSync(Buffer.alloc(20 * block.length, 32));
     respond = (response) => {
       if (form === 'compressed') {
         response.writeHead(200, { 'content-encoding': 'gzip' });
-        response.end(gzipSync(Buffer.concat(Array.from({ length: 20 }, () => block))));
+        response.end(compressed);
         return;
       }
       const sendMore = () => {
