--- a/review/lib/server.js
+++ b/review/lib/server.js
@@ -11,6 +11,7 @@
     this.running = 0;
     this.isLeaving = false;
     this.isCrashing = () => false;
+    this.rejectsEarly = () => false;
     this.sockets = new Set();
     this.port = 0;
   }
@@ -60,9 +61,27 @@
       return;
     }
     const id = request.headers['request-id'] ?? '';
+    if (this.rejectsEarly(request)) {
+      this.rejectEarly(request, response, id);
+      return;
+    }
     const chunks = [];
     request.on('data', (chunk) => chunks.push(chunk));
     request.on('end', () => this.run(request, response, id, Buffer.concat(chunks).toString()));
+    request.on('error', () => {});
+  }
+
+  // Answers before the body is in, keeps the connection and reads on.
+  rejectEarly(request, response, id) {
+    this.record.add(
+      this.id,
+      `${id} ${request.method} ${request.url} rejected before its body is in`,
+    );
+    this.runs.push({ id, at: this.record.now(), path: request.url, end: 'rejected early' });
+    const headers = { 'Request-Id': id, 'Upstream-Signature': `sig.${id}`, 'Content-Length': 8 };
+    response.writeHead(422, headers).end('rejected');
+    request.on('error', () => {});
+    request.resume();
   }
 
   run(request, response, id, body) {
