--- a/review/lib/server.js
+++ b/review/lib/server.js
@@ -5,8 +5,8 @@
 const { createServer } = require('node:http');
 
 class Server {
-  constructor(record, { id, service, slots = 6, workMs = () => 50 }) {
-    Object.assign(this, { record, id, service, slots, workMs });
+  constructor(record, { id, service, slots = 6, workMs = () => 50, answerBytes = 0 }) {
+    Object.assign(this, { record, id, service, slots, workMs, answerBytes });
     this.runs = [];
     this.running = 0;
     this.isLeaving = false;
@@ -109,7 +109,7 @@
     }
     this.running += 1;
     const queueFactor = Math.max(1, this.running / this.slots);
-    const text = `answer of ${this.id} to ${id}`;
+    const text = `answer of ${this.id} to ${id}`.padEnd(this.answerBytes, '.');
     const timer = setTimeout(
       () => {
         this.running -= 1;
