--- a/review/lib/machines.js
+++ b/review/lib/machines.js
@@ -14,6 +14,11 @@
 const ROOT = path.join(__dirname, '..', '..');
 const readDeployFile = (name) => fs.readFile(path.join(ROOT, 'deploy', name), 'utf8');
 
+// Processes that still run when the script ends, for whatever reason, are ended with it.
+const running = new Set();
+process.on('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.once(signal, () => process.exit(2));
+
 const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
 /** Writes lines with their time in milliseconds since the start of the case. */
@@ -111,8 +116,10 @@
     this.child.stderr.on('data', keep);
     this.record.add(this.name, `process started${isFirst ? '' : ' again'}`);
     const { child } = this;
+    running.add(child);
     this.exited = new Promise((resolve) => {
       child.once('exit', (code, signal) => {
+        running.delete(child);
         this.record.add(this.name, `process ended: ${signal ?? `code ${code}`}`);
         resolve(code);
       });
