--- a/review/1/case.js
+++ b/review/1/case.js
@@ -19,7 +19,7 @@
   budget_window_s: 10,
 };
 const ZONES = { 'almaty-a': 2, 'almaty-b': 2, 'almaty-c': 2 };
-const RESTART_MS = 200;
+const RESTART_MS = 500;
 // The server serves on for `drain_ms` and this long.
 const SERVES_ON_MS = 9000;
 
