Apply a whole read of the catalog as one, so that removed targets do not stay

Cause: a reader turned a whole read into changes after the last revision that it knew, 0 after a restart. Such changes lack the removals that the reader never saw, and neighbours took them as complete. Two related paths vouched for too much as well: a whole read with withheld deletions, and a reader that resumes with a watch. Change: whole reads stay whole; the catalog is not complete behind missing targets that are withheld, until the store was read again; a host that stops reading starts with a whole read.

--- a/src/source/catalogReader.ts
+++ b/src/source/catalogReader.ts
@@ -59,6 +59,9 @@
   /** Monotonic time until which a missing target may have expired although it is still running. */
   private expiryGraceUntil = -Infinity;
 
+  /** Whether targets were missing in a whole read, but may only have expired. */
+  private mustReadAllAgain = false;
+
   /** Deletions by key, applied unless a newer record arrives before `expiryGraceUntil`. */
   private readonly withheldDeletions = new Map<string, CatalogRecord>();
 
@@ -79,7 +82,7 @@
     const { clock } = this.parts;
     while (!this.isClosed) {
       if (!this.parts.mustRead()) {
-        this.setState('idle');
+        this.stopReading();
         await waitUntil(clock, clock.now() + IDLE_RECHECK_MS);
         continue;
       }
@@ -96,14 +99,24 @@
     this.parts.source.close();
   }
 
+  // Another host may have read on meanwhile without the deletions that this one withholds.
+  private stopReading(): void {
+    this.setState('idle');
+    this.hasRead = false;
+    this.mustReadAllAgain = false;
+    this.withheldDeletions.clear();
+  }
+
   private readOnce(): Promise<Result<CatalogChanges, SourceError>> {
     const { clock, source, ledger } = this.parts;
     const now = clock.now();
-    if (!this.hasRead) return source.readAll(now + READ_TIMEOUT_MS);
-    const watchUntil =
-      this.withheldDeletions.size > 0
-        ? Math.min(now + WATCH_DURATION_MS, this.expiryGraceUntil)
-        : now + WATCH_DURATION_MS;
+    const isGraceOver = now >= this.expiryGraceUntil;
+    if (!this.hasRead || (this.mustReadAllAgain && isGraceOver))
+      return source.readAll(now + READ_TIMEOUT_MS);
+    const isWithholding = this.withheldDeletions.size > 0 || this.mustReadAllAgain;
+    const watchUntil = isWithholding
+      ? Math.min(now + WATCH_DURATION_MS, this.expiryGraceUntil)
+      : now + WATCH_DURATION_MS;
     const after = Math.max(this.readRevision, ledger.catalog().asOf);
     return source.watch(after, Math.max(watchUntil, now + 1), watchUntil + WATCH_GRACE_MS);
   }
@@ -140,42 +153,60 @@
    * withheld until the grace period ends.
    */
   private withholdUncertainDeletions(changes: CatalogChanges): CatalogChanges {
-    const { clock, ledger } = this.parts;
     this.readRevision = changes.asOf;
-    const isInExpiryGrace = clock.now() < this.expiryGraceUntil;
-    const released = isInExpiryGrace ? [] : [...this.withheldDeletions.values()];
-    if (!isInExpiryGrace) this.withheldDeletions.clear();
-    const incoming = changes.after === null ? this.addMissingAsDeleted(changes) : changes.records;
-    const certain: CatalogRecord[] = [];
-    for (const record of incoming) {
-      this.withheldDeletions.delete(record.key);
-      if (isInExpiryGrace && this.isUnannouncedDeletion(record))
-        this.withheldDeletions.set(record.key, record);
-      else certain.push(record);
+    if (this.parts.clock.now() >= this.expiryGraceUntil) return this.releaseDeletions(changes);
+    return changes.after === null
+      ? this.withholdMissing(changes)
+      : this.withholdDeletions(changes.records, changes.asOf);
+  }
+
+  private releaseDeletions(changes: CatalogChanges): CatalogChanges {
+    const released = [...this.withheldDeletions.values()];
+    this.withheldDeletions.clear();
+    if (changes.after === null) {
+      this.mustReadAllAgain = false;
+      return changes;
     }
-    const firstWithheldRevision = Math.min(
-      ...[...this.withheldDeletions.values()].map((record) => record.revision),
-    );
-    // While deletions are withheld, the ledger is complete only up to the first of them.
-    const asOf =
-      this.withheldDeletions.size > 0
-        ? Math.min(changes.asOf, firstWithheldRevision - 1)
-        : changes.asOf;
-    const after = ledger.catalog().asOf;
+    const { asOf: after } = this.parts.ledger.catalog();
+    if (this.mustReadAllAgain) return { after, asOf: after, records: changes.records };
     const records = [
-      ...released.filter(({ key }) => !incoming.some((r) => r.key === key)),
-      ...certain,
+      ...released.filter(({ key }) => !changes.records.some((record) => record.key === key)),
+      ...changes.records,
     ];
-    return { after, asOf: Math.max(asOf, after), records };
+    return { after, asOf: Math.max(changes.asOf, after), records };
   }
 
-  private addMissingAsDeleted(changes: CatalogChanges): readonly CatalogRecord[] {
+  // A missing target was deleted at an unknown revision after the last complete one, so that the
+  // catalog is not complete beyond that until it is read again without withholding anything.
+  private withholdMissing(changes: CatalogChanges): CatalogChanges {
+    const { ledger } = this.parts;
     const present = new Set(changes.records.map((record) => record.key));
-    const missing = this.parts.ledger
+    const missing = ledger
       .presentKeys()
       .filter(({ key, revision }) => !present.has(key) && revision <= changes.asOf)
       .map(({ key }): CatalogRecord => ({ key, revision: changes.asOf, fact: null }));
-    return [...changes.records, ...missing];
+    this.mustReadAllAgain = missing.some((record) => this.isUnannouncedDeletion(record));
+    return this.mustReadAllAgain
+      ? this.withholdDeletions([...changes.records, ...missing], ledger.catalog().asOf)
+      : changes;
+  }
+
+  /** Withholds deletions among records that are complete up to revision `completeUntil`. */
+  private withholdDeletions(
+    incoming: readonly CatalogRecord[],
+    completeUntil: number,
+  ): CatalogChanges {
+    const records: CatalogRecord[] = [];
+    for (const record of incoming) {
+      this.withheldDeletions.delete(record.key);
+      if (this.isUnannouncedDeletion(record)) this.withheldDeletions.set(record.key, record);
+      else records.push(record);
+    }
+    const { asOf: after } = this.parts.ledger.catalog();
+    if (this.mustReadAllAgain) return { after, asOf: after, records };
+    const withheldRevisions = [...this.withheldDeletions.values()].map(({ revision }) => revision);
+    const asOf = Math.min(completeUntil, ...withheldRevisions.map((revision) => revision - 1));
+    return { after, asOf: Math.max(asOf, after), records };
   }
 
   private isUnannouncedDeletion(record: CatalogRecord): boolean {
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -67,7 +67,7 @@
   ) {}
 
   /** Starts a host, or restarts it without its previous state. */
-  start(id: string, zone: string, ip: string): SimulatedHost {
+  start(id: string, zone: string, ip: string, isFirstStart = true): SimulatedHost {
     this.hosts.get(id)?.exchange.close();
     this.hosts.get(id)?.reader?.close();
     this.nextIncarnation += 1;
@@ -114,7 +114,7 @@
       ledger,
       exchange,
       reports,
-      reader: this.makeReader(id, ledger, exchange),
+      reader: this.makeReader(id, ledger, exchange, isFirstStart),
       sentBytes: 0,
       sentDatagrams: 0,
       isDown: false,
@@ -149,7 +149,12 @@
     return [...this.hosts.values()].filter((host) => !host.isDown);
   }
 
-  private makeReader(id: string, ledger: Ledger, exchange: Exchange): CatalogReader | null {
+  private makeReader(
+    id: string,
+    ledger: Ledger,
+    exchange: Exchange,
+    isFirstStart: boolean,
+  ): CatalogReader | null {
     if (this.source === null) return null;
     const { clock } = this;
     const startedAt = clock.now();
@@ -159,7 +164,7 @@
       events: { emit: () => {} },
       mustRead: () =>
         mustRead({
-          ...{ hostId: id, isStopping: false, isFirstStart: true },
+          ...{ hostId: id, isStopping: false, isFirstStart },
           knowsConfiguration: ledger.catalog().configuration !== null,
           uptimeMs: clock.now() - startedAt,
           neighbours: exchange.membership
--- a/test/exchange/simulatedSource.ts
+++ b/test/exchange/simulatedSource.ts
@@ -18,6 +18,9 @@
 
   private revision = 0;
 
+  /** Oldest revision after which changes can be watched. */
+  private oldestWatchable = 0;
+
   private readonly records = new Map<string, CatalogRecord>();
 
   private readonly waiting = new Set<() => void>();
@@ -32,6 +35,12 @@
     this.waiting.clear();
   }
 
+  /** Forgets the deletions so far: watches that ask for them get 'forgotten'. */
+  forgetHistory(): void {
+    this.oldestWatchable = this.revision;
+    for (const [key, record] of this.records) if (record.fact === null) this.records.delete(key);
+  }
+
   /** The connection of a host to this source. */
   connect(host: string): CatalogSource {
     let connection = new AbortController();
@@ -44,6 +53,8 @@
         })),
       watch: async (after, watchUntil, deadline) => {
         await this.changeAfter(after, watchUntil, connection.signal);
+        if (after < this.oldestWatchable)
+          return Err({ kind: 'forgotten', message: 'no history since this revision' });
         return this.answer(host, deadline, connection.signal, () => ({
           after,
           asOf: this.revision,
--- a/test/source/storeReading.test.ts
+++ b/test/source/storeReading.test.ts
@@ -142,6 +142,27 @@
     ]);
   });
 
+  // Guards against neighbours that keep a target for good: a host that is told to be complete behind
+  // a withheld deletion never asks for it again, and the reader may die before it releases it.
+  it('is not complete behind targets that were missing in a whole read until it has read again', async () => {
+    for (let index = 0; index < 2; index += 1) store.put(`servers/i-${index}`, targetEntry('s'));
+    void reader.run();
+    await waitForCondition(() => targetCount() === 2);
+    const completeBefore = ledger.catalog().asOf;
+    store.setMode('silent');
+    await waitForCondition(() => reader.state() === 'failing');
+    store.remove('servers/i-0');
+    store.put('servers/i-2', targetEntry('s'));
+    store.compactHistory();
+    store.setMode('well');
+    await waitForCondition(() => ledger.factOf('servers/i-2') !== null);
+    expect(ledger.factOf('servers/i-0')).not.toBeNull();
+    expect(ledger.catalog().asOf).toBe(completeBefore);
+    await waitForCondition(() => ledger.factOf('servers/i-0') === null);
+    // The host never knew what was deleted between the two revisions.
+    expect(ledger.changesAfter(completeBefore).after).toBeNull();
+  });
+
   // Guards against a target that is kept although it was deleted while the store was available.
   it('drops a deleted target at once while the store is well', async () => {
     store.put('servers/i-1', targetEntry('s'));
