Close connections during a planned stop whose calls were sent behind each other

Cause: an answer says 'Connection: close' if its call is the only open one, decided when the answer is made. If the later of two calls is answered first, neither answer says so, and the caller goes on until the process ends. Change: heads are made when it is their turn; calls behind open ones are not read while the host stops; connections are shut down in one direction first, so that a reset does not take the last answer.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -90,7 +90,8 @@
 
   private readonly targetConditions: TargetConditionLog;
 
-  private isStopping = false;
+  /** Monotonic time by which the last answer must be sent; Infinity unless the host is stopping. */
+  private stopDeadline = Infinity;
 
   private hasLoggedReady = false;
 
@@ -159,7 +160,7 @@
       preference: this.subsets,
       isConnected: (target) => this.delivery.isConnected(target),
       callShare: (target, rate) =>
-        this.isStopping
+        this.isStopping()
           ? 0
           : callShare(target.id, target.zone === settings.zone, rate, this.fleetSize(target.id)),
     });
@@ -183,6 +184,7 @@
         crashes,
         catalog,
         targetStates: this.targetStates,
+        stopDeadline: () => this.stopDeadline,
       },
       retryBudgetLimits: {
         ratio: settings['retry-ratio'],
@@ -202,7 +204,6 @@
     });
     this.calls = new CallServer({
       ...{ clock, random, events, protocol, catalog, context: this.delivery },
-      isStopping: () => this.isStopping,
       observer: { onEnd: (call, end, elapsedMs) => this.countCall(call, end, elapsedMs) },
     });
   }
@@ -227,15 +228,22 @@
 
   /** Whether callers should send calls to this host. */
   isReady(): boolean {
-    return !this.isStopping && this.ledger.catalog().configuration !== null;
+    return !this.isStopping() && this.ledger.catalog().configuration !== null;
   }
 
-  /** Begins the stop: the host reports not ready, and answers close their connections. */
-  beginStop(): void {
-    this.isStopping = true;
+  /**
+   * Begins the stop: the host reports not ready, and answers close their connections. Calls that may
+   * not be answered by `deadline`, a monotonic time in milliseconds, are no longer sent to targets.
+   */
+  beginStop(deadline: number): void {
+    this.stopDeadline = deadline;
     this.exchange.announce();
   }
 
+  private isStopping(): boolean {
+    return this.stopDeadline !== Infinity;
+  }
+
   private async open(): Promise<Result<void, string>> {
     const { settings, clock, lifecycle } = this.parts;
     this.subscribeToLedger();
@@ -328,7 +336,7 @@
       mustRead: () =>
         mustRead({
           hostId,
-          isStopping: this.isStopping,
+          isStopping: this.isStopping(),
           isFirstStart: settings['first-start'],
           knowsConfiguration: this.ledger.catalog().configuration !== null,
           uptimeMs: clock.now() - startedAt,
@@ -361,7 +369,7 @@
       incarnation: random.integer(2 ** 30),
       seeds: () => this.parts.seeds().map(ipOf),
       sourceState: () => this.reader.state(),
-      isLeaving: () => this.isStopping,
+      isLeaving: () => this.isStopping(),
       sharersOf: (target) => this.subsets.sharersOf(target),
       sharersOfKey: (key) => this.subsets.sharersOfKey(key),
       pull: (host, after) =>
--- a/src/balancer/runBalancer.ts
+++ b/src/balancer/runBalancer.ts
@@ -15,7 +15,7 @@
 import { type BalancerAdapter } from './balancerAdapter';
 import { BALANCER_EVENTS } from './events';
 import { openLogOutput } from './logOutput';
-import { drainCalls } from './stop';
+import { drainCalls, lastAnswerTime } from './stop';
 import { watchSettings } from './watchSettings';
 
 // A resource that does not close must not keep the process alive until it is killed.
@@ -94,10 +94,11 @@
     lifecycle.own('settings watch', stopWatching);
   }
   const signal = await stopRequested;
-  balancer.beginStop();
-  events.emit(BALANCER_EVENTS.stopping, { signal, running: balancer.calls.callsRunning() });
+  const startedAt = clock.now();
   const graceMs = settings['stop-grace-s'] * 1000;
-  await drainCalls({ clock, events, calls: balancer.calls, graceMs });
+  balancer.beginStop(lastAnswerTime(startedAt, graceMs));
+  events.emit(BALANCER_EVENTS.stopping, { signal, running: balancer.calls.callsRunning() });
+  await drainCalls({ clock, events, calls: balancer.calls, startedAt, graceMs });
   events.emit(BALANCER_EVENTS.stopped);
   const isClosed = await Promise.race([
     lifecycle.close().then(() => true),
--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -10,6 +10,8 @@
 import { CallerAnswer, type OwnAnswer } from './callerAnswer';
 import { type CallProtocol } from './callProtocol';
 import { CallRun } from './callRun';
+import { callDeadlines } from './callDeadlines';
+import { CallerConnection } from './callerConnection';
 import { type DeliveryContext } from './deliveryContext';
 import { DELIVERY_EVENTS } from './events';
 import { type IncomingCall } from './incomingCall';
@@ -39,7 +41,6 @@
   readonly protocol: CallProtocol;
   readonly context: DeliveryContext;
   readonly catalog: () => Catalog;
-  readonly isStopping: () => boolean;
   readonly observer: CallObserver;
 }
 
@@ -51,8 +52,7 @@
 
   private runningCalls = 0;
 
-  /** Calls without a complete answer, by connection. */
-  private readonly openCalls = new WeakMap<Socket, number>();
+  private readonly connections = new Map<Socket, CallerConnection>();
 
   /** Callbacks that resume the calls which arrived before the first configuration. */
   private readonly awaitingConfiguration = new Set<() => void>();
@@ -61,6 +61,7 @@
     this.serviceChoice = new WeightedRoundRobin(parts.random);
     this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
     this.server.requestTimeout = 0;
+    this.server.on('connection', (socket) => this.addConnection(socket));
     this.server.on('request', (request, response) => {
       void this.serve(request, response);
     });
@@ -91,12 +92,28 @@
     });
   }
 
+  private addConnection(socket: Socket): void {
+    this.connections.set(socket, new CallerConnection(socket, this.parts.clock));
+    socket.once('close', () => this.connections.delete(socket));
+  }
+
+  private isStopping(): boolean {
+    return this.parts.context.stopDeadline() !== Infinity;
+  }
+
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const connection = this.connections.get(request.socket);
+    if (connection === undefined || !this.reads(connection)) {
+      request.resume();
+      return;
+    }
     this.runningCalls += 1;
     const arrivedAt = this.parts.clock.now();
     const { protocol, observer, clock } = this.parts;
-    this.countOpenCall(request.socket, response);
-    const answer = new CallerAnswer(response, protocol, () => this.mustClose(request.socket));
+    const earlierCallsEnded = connection.begin(response);
+    // Further calls on the connection need it after this answer.
+    const mustClose = () => this.isStopping() && connection.hasOneOpenCall();
+    const answer = new CallerAnswer(response, protocol, mustClose);
     // A caller that disconnects ends its call through 'close'; write errors add no information.
     response.on('error', () => {});
     const header = request.headers[protocol.callIdHeader];
@@ -105,6 +122,7 @@
       const { call, end } = await this.handle(request, response, id, arrivedAt);
       observer.onEnd(call, end, clock.now() - arrivedAt);
       this.logEnd(id, call, end, clock.now() - arrivedAt);
+      await earlierCallsEnded;
       if (end.kind === 'own' && answer.isOpen()) answer.respond(end.own, id);
       if (end.kind === 'answer' && answer.isOpen()) await answer.forward(end.answer);
       if (!request.complete) request.resume();
@@ -117,17 +135,11 @@
     }
   }
 
-  private countOpenCall(socket: Socket, response: ServerResponse): void {
-    this.openCalls.set(socket, (this.openCalls.get(socket) ?? 0) + 1);
-    response.once('close', () => {
-      this.openCalls.set(socket, this.openCalls.get(socket)! - 1);
-    });
-  }
-
-  // A caller may have sent further calls behind this one, which are running; their answers need the
-  // connection.
-  private mustClose(socket: Socket): boolean {
-    return this.parts.isStopping() && this.openCalls.get(socket) === 1;
+  // While the host is stopping, calls sent behind others are left to the caller, which sends them to
+  // another host once this connection is closed.
+  private reads(connection: CallerConnection): boolean {
+    if (this.isStopping() && connection.hasOpenCalls()) connection.stopReadingCalls();
+    return connection.readsCalls();
   }
 
   private async handle(
@@ -177,7 +189,8 @@
     if (route === null) return { kind: 'rejected', status: 404, detail: 'no route' };
     const service = this.serviceChoice.next(route);
     if (service === null) return this.refuse('noTarget', request);
-    return { id, route, service, arrivedAt, catalog };
+    const deadlines = callDeadlines(request, route, arrivedAt, this.parts.protocol);
+    return { id, route, service, arrivedAt, ...deadlines, catalog };
   }
 
   private refuse(reason: 'noConfiguration' | 'noTarget', request: IncomingMessage): OwnAnswer {
--- /dev/null
+++ b/src/delivery/callerConnection.ts
@@ -0,0 +1,74 @@
+import { type ServerResponse } from 'node:http';
+import { type Socket } from 'node:net';
+
+import { type Clock } from '../runtime';
+
+// A caller that has read its last answer closes the connection; one that does not is disconnected.
+const LINGER_MS = 500;
+
+/** The connection of a caller, with the calls on it that are not completely answered. */
+export class CallerConnection {
+  private readonly openCalls = new Set<() => void>();
+
+  private lastCallEnded: Promise<void> = Promise.resolve();
+
+  private mayReadCalls = true;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly clock: Clock,
+  ) {
+    // Node.js calls this behind an answer that closes the connection. Its own version closes the socket
+    // at once, which resets the connection if the caller has sent more: the answer may be lost.
+    socket.destroySoon = () => this.close();
+    socket.once('close', () => {
+      for (const end of this.openCalls) end();
+    });
+  }
+
+  /** Whether a call is not completely answered. */
+  hasOpenCalls(): boolean {
+    return this.openCalls.size > 0;
+  }
+
+  /** Whether no other call waits for its answer behind the one that is being answered. */
+  hasOneOpenCall(): boolean {
+    return this.openCalls.size === 1;
+  }
+
+  /** Whether further calls are read; those that are not are neither run nor answered. */
+  readsCalls(): boolean {
+    return this.mayReadCalls;
+  }
+
+  /** Reads no further calls; closes the connection when the open ones are answered. */
+  stopReadingCalls(): void {
+    this.mayReadCalls = false;
+    if (!this.hasOpenCalls()) this.close();
+  }
+
+  /** Adds a call; resolves when the earlier ones on the connection have ended. */
+  begin(response: ServerResponse): Promise<void> {
+    const earlierCallsEnded = this.lastCallEnded;
+    this.lastCallEnded = new Promise((resolve) => {
+      const end = () => {
+        if (!this.openCalls.delete(end)) return;
+        resolve();
+        if (!this.mayReadCalls && !this.hasOpenCalls()) this.close();
+      };
+      this.openCalls.add(end);
+      response.once('close', end);
+    });
+    return earlierCallsEnded;
+  }
+
+  /** Ends the connection, and discards what the caller still sends until it closes its side. */
+  close(): void {
+    if (this.socket.writableEnded || this.socket.destroyed) return;
+    this.mayReadCalls = false;
+    this.socket.end();
+    this.socket.resume();
+    const timer = this.clock.setTimer(this.clock.now() + LINGER_MS, () => this.socket.destroy());
+    this.socket.once('close', () => timer.cancel());
+  }
+}
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -60,6 +60,8 @@
   readonly placer: Placer;
   readonly crashes: CrashGuard;
   readonly catalog: () => Catalog;
+  /** Monotonic time by which the last answer must be sent; Infinity unless the host is stopping. */
+  readonly stopDeadline: () => number;
   readonly retryBudgetLimits: RetryBudgetLimits;
   /** Upper bound of the number of hosts that share the slack of the retry budgets. */
   readonly hostCount: () => number;
@@ -92,6 +94,8 @@
 
   readonly crashes: CrashGuard;
 
+  readonly stopDeadline: () => number;
+
   private readonly connections: ConnectionTable;
 
   private readonly startedAt: number;
@@ -111,6 +115,7 @@
     this.targetStates = parts.targetStates;
     this.placer = parts.placer;
     this.crashes = parts.crashes;
+    this.stopDeadline = parts.stopDeadline;
     this.connections = new ConnectionTable(parts.clock, {
       onUnexpectedClose: (target) => this.parts.onUnexpectedClose(target),
       onOpened: () => parts.counters.connection(),
--- a/src/delivery/deliveryContext.ts
+++ b/src/delivery/deliveryContext.ts
@@ -16,6 +16,8 @@
   readonly targetStates: TargetStatisticsTable;
   readonly placer: Placer;
   readonly crashes: CrashGuard;
+  /** Monotonic time by which the last answer must be sent; Infinity unless the host is stopping. */
+  readonly stopDeadline: () => number;
   /** Opens an attempt at a target of the catalog; `onEnd` is called once. */
   openAttempt(
     call: IncomingCall,
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -110,6 +110,7 @@
         () => false,
       ),
       retryBudgetLimits: { ratio: 0.2, slack: 60, windowMs: 10_000 },
+      stopDeadline: () => Infinity,
       hostCount: () => environment.hostCount,
       onReport: (report) => this.observe(report),
       onUnexpectedClose: () => {},
--- a/test/balancer/plannedStop.test.ts
+++ b/test/balancer/plannedStop.test.ts
@@ -1,47 +1,9 @@
-import { connect, type Socket } from 'node:net';
-
 import { BalancerProcess } from '../support/balancerProcess';
+import { RawCaller } from '../support/rawCaller';
 import { TestPlatform } from '../support/testPlatform';
 
 const LOOKUP_HEAD = 'HTTP/1.1\r\nHost: test.example\r\nDeadline-Ms: 6000\r\n';
 
-/** A caller that writes and reads the bytes of its connection itself. */
-class RawCaller {
-  text = '';
-
-  readonly closed: Promise<void>;
-
-  private readonly socket: Socket;
-
-  constructor(port: number) {
-    this.socket = connect(port, '127.0.0.1');
-    this.socket.on('data', (chunk) => {
-      this.text += chunk.toString('latin1');
-    });
-    this.socket.on('error', () => {});
-    this.closed = new Promise((resolve) => {
-      this.socket.once('close', () => resolve());
-    });
-  }
-
-  write(text: string): void {
-    this.socket.write(text);
-  }
-
-  pause(): void {
-    this.socket.pause();
-  }
-
-  resume(): void {
-    this.socket.resume();
-  }
-
-  /** Statuses of the answers received. */
-  statuses(): readonly string[] {
-    return [...this.text.matchAll(/HTTP\/1\.1 (\d+)/g)].map((match) => match[1]!);
-  }
-}
-
 describe('a planned stop under load', () => {
   let platform: TestPlatform;
 
