Reject calls that may not be answered before a stopping process ends

Callers saw: calls that came late in the grace of a planned stop were passed on and cut at its end with no answer, also those that must not be repeated (reported by other operators). Cause: calls were taken until the process ended, whatever their time limit; connections without a first request did not count as idle when the listener closed. Change: a call whose deadline lies behind the last moment for answers is rejected at once as not run, with Retry-After; connections without calls close with the listener; calls that still run then get a final answer.

--- a/src/balancer/stop.ts
+++ b/src/balancer/stop.ts
@@ -39,8 +39,9 @@
   );
   const listenerClosed = calls.closeListener();
   events.emit(BALANCER_EVENTS.listenerClosed, { running: calls.callsRunning() });
+  await Promise.race([listenerClosed, waitUntil(clock, lastAnswerTime(startedAt, graceMs))]);
+  if (calls.callsRunning() === 0) return;
+  events.emit(BALANCER_EVENTS.interrupted, { running: calls.callsRunning() });
+  calls.endCalls();
   await Promise.race([listenerClosed, waitUntil(clock, startedAt + graceMs - CLOSE_RESERVE_MS)]);
-  if (calls.callsRunning() > 0) {
-    events.emit(BALANCER_EVENTS.interrupted, { running: calls.callsRunning() });
-  }
 }
--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -76,6 +76,11 @@
     this.mailbox.put({ kind: 'callerLeft' });
   }
 
+  /** Ends the task with its final answer because the host stops. */
+  endNow(): void {
+    this.mailbox.put({ kind: 'deadline' });
+  }
+
   /** Runs the call and resolves to its final result. */
   async run(): Promise<CallEnd> {
     const { clock } = this.context;
@@ -99,6 +104,8 @@
 
   /** Sends the call, puts it into the wait queue, or ends it. */
   private place(): CallEnd | null {
+    if (this.call.deadline > this.context.stopDeadline())
+      return this.finishWithoutRetry('stopping');
     const placement = this.context.placer.place(this.call, this.triedTargets, true);
     this.logPlacement(placement);
     return match(placement)
--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -52,6 +52,9 @@
 
   private runningCalls = 0;
 
+  /** Tasks of the calls without a final answer. */
+  private readonly runs = new Set<CallRun>();
+
   private readonly connections = new Map<Socket, CallerConnection>();
 
   /** Callbacks that resume the calls which arrived before the first configuration. */
@@ -87,11 +90,19 @@
    * all their calls answered.
    */
   closeListener(): Promise<void> {
+    // Node.js closes idle connections, but not those on which no request was received yet.
+    for (const connection of this.connections.values())
+      if (!connection.hasOpenCalls()) connection.close();
     return new Promise((resolve) => {
       this.server.close(() => resolve());
     });
   }
 
+  /** Ends the calls that are still running, each with a final answer. */
+  endCalls(): void {
+    for (const run of this.runs) run.endNow();
+  }
+
   private addConnection(socket: Socket): void {
     this.connections.set(socket, new CallerConnection(socket, this.parts.clock));
     socket.once('close', () => this.connections.delete(socket));
@@ -160,7 +171,9 @@
       if (!response.writableFinished) run.callerLeft();
     });
     if (response.destroyed) run.callerLeft();
-    return { call, end: await run.run() };
+    this.runs.add(run);
+    const end = await run.run().finally(() => this.runs.delete(run));
+    return { call, end };
   }
 
   private async waitForConfiguration(deadline: number): Promise<void> {
@@ -190,10 +203,15 @@
     const service = this.serviceChoice.next(route);
     if (service === null) return this.refuse('noTarget', request);
     const deadlines = callDeadlines(request, route, arrivedAt, this.parts.protocol);
+    if (deadlines.deadline > this.parts.context.stopDeadline())
+      return this.refuse('stopping', request);
     return { id, route, service, arrivedAt, ...deadlines, catalog };
   }
 
-  private refuse(reason: 'noConfiguration' | 'noTarget', request: IncomingMessage): OwnAnswer {
+  private refuse(
+    reason: 'noConfiguration' | 'noTarget' | 'stopping',
+    request: IncomingMessage,
+  ): OwnAnswer {
     const statedTimeoutMs = Number(request.headers[this.parts.protocol.timeoutHeader]);
     const leftMs = statedTimeoutMs > 0 ? statedTimeoutMs : DEFAULT_TIMEOUT_MS;
     const input = { leftMs, workMs: 0, rank: 0, callIntervalMs: 0 };
--- a/test/balancer/keptConnections.test.ts
+++ b/test/balancer/keptConnections.test.ts
@@ -127,4 +127,26 @@
     for (const { caller, sent } of connections)
       expect(caller.answeredIds()).toEqual(sent.slice(0, caller.answeredIds().length));
   }, 30_000);
+
+  // Guards against calls that are taken so late in the grace period that they cannot be answered
+  // before the process ends; those that must not be repeated would be lost.
+  it('rejects calls at once that may not be answered before the process ends', async () => {
+    const waiting = Array.from({ length: 30 }, connect);
+    balancer.child!.kill('SIGTERM');
+    for (const [index, connection] of waiting.entries()) {
+      setTimeout(
+        () => send(connection, 'book', BOOKING_TIMEOUT_MS),
+        (index + 1) * ((GRACE_S * 1000) / waiting.length),
+      );
+    }
+    await waitForEnd();
+    expect(cutCalls()).toEqual([]);
+    const statuses = connections.flatMap(({ caller }) => caller.statuses());
+    expect(statuses.filter((status) => status !== '200' && status !== '503')).toEqual([]);
+    // Calls with enough time are still run.
+    expect(statuses).toContain('200');
+    const refused = connections.filter(({ caller }) => caller.statuses()[0] === '503');
+    expect(refused.length).toBeGreaterThan(0);
+    for (const { caller } of refused) expect(caller.text).toMatch(/^retry-after: /im);
+  }, 30_000);
 });
