--- a/test/balancer/keptConnections.test.ts
+++ b/test/balancer/keptConnections.test.ts
@@ -79,17 +79,17 @@
     return runs.map(({ id }) => id).filter((id) => !answered.has(id));
   }
 
+  async function waitForEnd(): Promise<void> {
+    expect(await exited).toBe(0);
+    await Promise.all(connections.map(({ caller }) => caller.closed));
+  }
+
   /** Stops the process; resolves when it has ended. */
   async function stop(): Promise<void> {
     balancer.child!.kill('SIGTERM');
     await waitForEnd();
   }
 
-  async function waitForEnd(): Promise<void> {
-    expect(await exited).toBe(0);
-    await Promise.all(connections.map(({ caller }) => caller.closed));
-  }
-
   // Guards against calls that are cut off when the process ends, since no answer said that their
   // connection would close: the answers to calls sent behind each other were made before their turn.
   it('closes connections whose later calls are answered first', async () => {
