Keep handling signals during a stop and while the bundle loads

Callers saw: calls without an answer when a second SIGTERM or SIGINT arrived during a planned stop; operators saw processes ended by a SIGHUP in the first 150 ms. Cause: the listeners were removed by the first signal, and at the start set after the bundle was loaded. Change: they stay, SIGHUP always has one, and the launcher sets them before it loads the bundle.

--- a/scripts/platformLauncher.js
+++ b/scripts/platformLauncher.js
@@ -1,4 +1,10 @@
 // Starts the bundled daemon with the V8 code cache of the build, if this Node.js version accepts it.
+
+// While the bundle loads, these signals would end the process. The daemon adds its own listeners, which
+// receive what arrived meanwhile.
+if (require.main === module)
+  for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT']) process.on(signal, () => {});
+
 const { readFileSync } = require('node:fs');
 const Module = require('node:module');
 const { join } = require('node:path');
--- a/src/balancer/runBalancer.ts
+++ b/src/balancer/runBalancer.ts
@@ -15,6 +15,7 @@
 import { type BalancerAdapter } from './balancerAdapter';
 import { BALANCER_EVENTS } from './events';
 import { openLogOutput } from './logOutput';
+import { waitForStopSignal } from './processSignals';
 import { drainCalls, lastAnswerTime } from './stop';
 import { watchSettings } from './watchSettings';
 
@@ -42,13 +43,6 @@
   return read.ok ? { settings: read.val.values } : { errors: read.val.map(formatSettingsError) };
 }
 
-function waitForStopSignal(): Promise<NodeJS.Signals> {
-  return new Promise((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
-  });
-}
-
 async function run(
   command: BalancerCommand,
   initialSettings: BalancerSettings,
@@ -120,11 +114,11 @@
     process.stdout.write(`${helpText(BALANCER_SETTINGS)}\n`);
     return 0;
   }
+  const stopRequested = waitForStopSignal();
   const read = readAllSettings(command);
   if (read.settings === undefined) {
     process.stderr.write(`${read.errors.join('\n')}\n`);
     return EXIT_USAGE;
   }
-  const stopRequested = waitForStopSignal();
   return run(command, read.settings, adapter, stopRequested);
 }
