Retry ports in use and incomplete settings at the start

Operators saw: processes that did not start. Found by trying a restart while a port is still held, and a settings file that is being written. Cause: the start gave up at the first obstacle: exit 1 for a port in use, 2 for missing settings.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, Ok, Result } from 'ts-results';
 
 import { Ledger } from '../catalog';
 import {
@@ -10,7 +10,13 @@
   type CallEnd,
   type IncomingCall,
 } from '../delivery';
-import { Exchange, type HostAddress, openDatagramLink, EXCHANGE_EVENTS } from '../exchange';
+import {
+  type DatagramLink,
+  Exchange,
+  type HostAddress,
+  openDatagramLink,
+  EXCHANGE_EVENTS,
+} from '../exchange';
 import {
   InFlightBroadcaster,
   LastSlotSlowdowns,
@@ -36,6 +42,7 @@
 import { createControlServer } from './controlServer';
 import { describeBalancer } from './describeBalancer';
 import { BALANCER_EVENTS } from './events';
+import { bindWhenFree } from './bindWhenFree';
 import { listenAt } from './listen';
 import { BALANCER_METRICS } from './metrics';
 import { pullCatalog } from './pullCatalog';
@@ -97,7 +104,7 @@
 
   private constructor(
     private readonly parts: BalancerParts,
-    link: Awaited<ReturnType<typeof openDatagramLink>>,
+    link: DatagramLink,
   ) {
     const { clock, random, events, settings, adapter, metrics } = parts;
     const { protocol } = adapter;
@@ -212,18 +219,19 @@
   static async start(parts: BalancerParts): Promise<Result<Balancer, string>> {
     const { settings, events, lifecycle } = parts;
     const ip = ipOf(settings['control-address']);
-    let link;
-    try {
-      link = await openDatagramLink(ip, settings['exchange-port'], (error) =>
-        events.emit(EXCHANGE_EVENTS.linkError, { reason: error.message }),
-      );
-    } catch (error) {
-      return Err(`exchange port: ${(error as Error).message}`);
-    }
+    const opened = await bindWhenFree(parts, 'exchange-port', () =>
+      Result.wrapAsync<DatagramLink, Error>(() =>
+        openDatagramLink(ip, settings['exchange-port'], (error) =>
+          events.emit(EXCHANGE_EVENTS.linkError, { reason: error.message }),
+        ),
+      ).then((result) => result.mapErr((error) => error.message)),
+    );
+    if (opened.err) return Err(`exchange port: ${opened.val}`);
+    const link = opened.val;
     lifecycle.own('exchange link', () => link.close());
     const balancer = new Balancer(parts, link);
-    const opened = await balancer.open();
-    return opened.ok ? Ok(balancer) : opened;
+    const ready = await balancer.open();
+    return ready.ok ? Ok(balancer) : ready;
   }
 
   /** Whether callers should send calls to this host. */
@@ -269,7 +277,7 @@
       { name: 'control-address', server: control, address: settings['control-address'] },
     ];
     for (const { name, server, address } of servers) {
-      const bound = await listenAt(server, address);
+      const bound = await bindWhenFree(this.parts, name, () => listenAt(server, address));
       if (bound.err) return Err(`${name} ${address}: ${bound.val}`);
       lifecycle.own(name, () => {
         server.close();
@@ -359,7 +367,7 @@
     });
   }
 
-  private makeExchange(link: Awaited<ReturnType<typeof openDatagramLink>>): Exchange {
+  private makeExchange(link: DatagramLink): Exchange {
     const { clock, random, events, settings } = this.parts;
     const ip = ipOf(settings['control-address']);
     const ownHostKey = identityKey(settings['host-id']);
--- a/src/balancer/events.ts
+++ b/src/balancer/events.ts
@@ -21,5 +21,10 @@
   },
   closeFailed: { number: 2313, level: 'warn', message: 'resources did not close in time' },
   linesDropped: { number: 2314, level: 'warn', message: 'log lines were dropped' },
+  addressInUse: {
+    number: 2316,
+    level: 'warn',
+    message: 'an address could not be opened; retrying',
+  },
   unexpected: { number: 2315, level: 'error', message: 'unexpected error' },
 });
--- a/src/balancer/runBalancer.ts
+++ b/src/balancer/runBalancer.ts
@@ -1,7 +1,7 @@
 import { Lifecycle } from '../lifecycle';
 import { BufferedWriter, LineLog } from '../logging';
 import { PrometheusSink } from '../metrics';
-import { SeededRandom, SystemClock, waitUntil } from '../runtime';
+import { type Clock, SeededRandom, SystemClock, waitUntil } from '../runtime';
 import {
   BALANCER_SETTINGS,
   type BalancerSettings,
@@ -19,6 +19,9 @@
 import { drainCalls, lastAnswerTime } from './stop';
 import { watchSettings } from './watchSettings';
 
+// The platform may be writing the settings file while the process starts.
+const SETTINGS_TIMEOUT_MS = 2000;
+const SETTINGS_RETRY_MS = 50;
 // A resource that does not close must not keep the process alive until it is killed.
 const CLOSE_TIMEOUT_MS = 150;
 const EXIT_FAILURE = 1;
@@ -43,6 +46,16 @@
   return read.ok ? { settings: read.val.values } : { errors: read.val.map(formatSettingsError) };
 }
 
+async function readCompleteSettings(command: BalancerCommand, clock: Clock) {
+  const deadline = clock.now() + SETTINGS_TIMEOUT_MS;
+  let read = readAllSettings(command);
+  while (read.settings === undefined && command.settingsFile !== null && clock.now() < deadline) {
+    await waitUntil(clock, clock.now() + SETTINGS_RETRY_MS);
+    read = readAllSettings(command);
+  }
+  return read;
+}
+
 async function run(
   command: BalancerCommand,
   initialSettings: BalancerSettings,
@@ -59,6 +72,19 @@
   process.on('uncaughtException', (error) => {
     events.emit(BALANCER_EVENTS.unexpected, { reason: error.message, stack: error.stack });
   });
+  const { settingsFile } = command;
+  if (settingsFile !== null) {
+    const stopWatching = watchSettings(settingsFile, settings['settings-check-ms'], clock, () => {
+      const reread = readAllSettings(command);
+      if (reread.settings === undefined) {
+        events.emit(BALANCER_EVENTS.reloadFailed, { errors: reread.errors });
+        return;
+      }
+      settings = reread.settings;
+      events.emit(BALANCER_EVENTS.reloaded, { seeds: settings.seeds });
+    });
+    lifecycle.own('settings watch', stopWatching);
+  }
   const started = await Balancer.start({
     ...{ settings, adapter, clock, events, lifecycle },
     random: new SeededRandom(seed),
@@ -74,19 +100,6 @@
   }
   const balancer = started.val;
   events.emit(BALANCER_EVENTS.started, { zone: settings.zone, seed, seeds: settings.seeds });
-  const { settingsFile } = command;
-  if (settingsFile !== null) {
-    const stopWatching = watchSettings(settingsFile, settings['settings-check-ms'], clock, () => {
-      const reread = readAllSettings(command);
-      if (reread.settings === undefined) {
-        events.emit(BALANCER_EVENTS.reloadFailed, { errors: reread.errors });
-        return;
-      }
-      settings = reread.settings;
-      events.emit(BALANCER_EVENTS.reloaded, { seeds: settings.seeds });
-    });
-    lifecycle.own('settings watch', stopWatching);
-  }
   const signal = await stopRequested;
   const startedAt = clock.now();
   const graceMs = settings['stop-grace-s'] * 1000;
@@ -115,7 +128,7 @@
     return 0;
   }
   const stopRequested = waitForStopSignal();
-  const read = readAllSettings(command);
+  const read = await readCompleteSettings(command, new SystemClock());
   if (read.settings === undefined) {
     process.stderr.write(`${read.errors.join('\n')}\n`);
     return EXIT_USAGE;
--- a/src/exchange/datagramLink.ts
+++ b/src/exchange/datagramLink.ts
@@ -24,9 +24,13 @@
     callback(null, host, 4);
   const socket: Socket = createSocket({ type: 'udp4', lookup });
   return new Promise((resolve, reject) => {
-    socket.once('error', reject);
+    const onBindError = (error: Error) => {
+      socket.close();
+      reject(error);
+    };
+    socket.once('error', onBindError);
     socket.bind(port, ip, () => {
-      socket.off('error', reject);
+      socket.off('error', onBindError);
       socket.on('error', onError);
       resolve({
         send: (toIp, bytes) => {
