--- a/src/catalog/changesSchema.ts
+++ b/src/catalog/changesSchema.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod';
 
 import { type CatalogChanges } from './catalogChanges';
+import { coldLeftSchema, slotsSchema, targetAddressSchema, targetNameSchema } from './targetSchema';
 
 const revision = z.number().int().nonnegative();
 
@@ -38,12 +39,12 @@
 
 const targetSchema = z.object({
   id: z.string(),
-  service: z.string(),
-  address: z.string(),
-  zone: z.string(),
-  slots: z.number().positive(),
+  service: targetNameSchema,
+  address: targetAddressSchema,
+  zone: targetNameSchema,
+  slots: slotsSchema,
   state: z.enum(['ready', 'leaving']),
-  coldUntil: z.number(),
+  coldUntil: coldLeftSchema,
   startedAt: z.number().nullable(),
 });
 
--- a/src/catalog/index.ts
+++ b/src/catalog/index.ts
@@ -8,6 +8,7 @@
 export { type CatalogRecord } from './catalogRecord';
 export { type CatalogChanges } from './catalogChanges';
 export { type Catalog } from './catalog';
+export { coldLeftSchema, slotsSchema, targetAddressSchema, targetNameSchema } from './targetSchema';
 export { RouteTable } from './routeTable';
 export { buildCatalog } from './buildCatalog';
 export { Ledger } from './ledger';
