Release long answers that nobody waits for

Cause: the task of a call ends when its caller leaves, but lets the attempt of a call that may not be repeated run on; the attempt then held an answer of over 256 KiB for good, and its abort did nothing in that state. Change: a long answer that arrives after the end of its task, or is not forwarded, is cancelled.

--- a/src/delivery/attempt.ts
+++ b/src/delivery/attempt.ts
@@ -44,6 +44,9 @@
 
   private resolveRest: ((isWhole: boolean) => void) | null = null;
 
+  /** Whether the rest of a long answer has not been received yet. */
+  private hasOpenRest = false;
+
   constructor(
     readonly call: IncomingCall,
     readonly target: Target,
@@ -62,7 +65,7 @@
 
   /** Closes the connection, which cancels the call at the target; the attempt ends as unknown. */
   abort(): void {
-    if (this.resolveRest !== null || !this.hasEnded) this.connection.close();
+    if (this.hasOpenRest || !this.hasEnded) this.connection.close();
   }
 
   onSent(): void {
@@ -121,6 +124,7 @@
 
   private endComplete(end: AttemptOutcome, message: string): void {
     if (this.hasEnded) {
+      this.hasOpenRest = false;
       this.resolveRest?.(true);
       return;
     }
@@ -131,6 +135,7 @@
   onError(error: ConnectionError): void {
     this.connections.release(this.connection, false);
     if (this.hasEnded) {
+      this.hasOpenRest = false;
       this.resolveRest?.(false);
       return;
     }
@@ -148,7 +153,9 @@
   }
 
   private openRest(): AnswerRest {
+    this.hasOpenRest = true;
     return {
+      cancel: () => this.abort(),
       pipeTo: (output) =>
         new Promise((resolve) => {
           const timer = this.clock.setTimer(this.restDeadline(), () => this.abort());
--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -61,6 +61,8 @@
   /** Why the call waits; null while it does not. */
   private waitReason: RefusalReason | null = null;
 
+  private isFinished = false;
+
   /** Entry of the call in the wait queue of its service. */
   private queueEntry: QueuedCall | null = null;
 
@@ -151,9 +153,10 @@
   }
 
   private startAttempt(targetId: string): void {
-    const attempt = this.context.openAttempt(this.call, targetId, (ended, result) =>
-      this.mailbox.put({ kind: 'ended', attempt: ended, result }),
-    );
+    const attempt = this.context.openAttempt(this.call, targetId, (ended, result) => {
+      if (this.isFinished) result.answer?.rest?.cancel();
+      else this.mailbox.put({ kind: 'ended', attempt: ended, result });
+    });
     this.context.placer.recordSent(targetId);
     if (this.triedTargets.size === 0) this.context.recordFirstAttempt(this.call.service);
     this.triedTargets.add(targetId);
@@ -309,6 +312,9 @@
 
   /** Cancels timers and attempts of the call; an attempt that lost to a hedge may finish. */
   private finish(end: CallEnd): CallEnd {
+    this.isFinished = true;
+    for (const event of this.mailbox.drain())
+      if (event.kind === 'ended') event.result.answer?.rest?.cancel();
     for (const timer of this.timers) timer.cancel();
     this.recheckTimer?.cancel();
     this.leaveQueue();
--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -136,6 +136,7 @@
       await earlierCallsEnded;
       if (end.kind === 'own' && answer.isOpen()) answer.respond(end.own, id);
       if (end.kind === 'answer' && answer.isOpen()) await answer.forward(end.answer);
+      else if (end.kind === 'answer') end.answer.rest?.cancel();
       if (!request.complete) request.resume();
     } catch (error) {
       this.parts.events.emit(DELIVERY_EVENTS.unexpected, { call: id, reason: String(error) });
--- a/src/delivery/callerAnswer.ts
+++ b/src/delivery/callerAnswer.ts
@@ -39,7 +39,9 @@
 
   /** False when the caller has disconnected or has been answered. */
   isOpen(): boolean {
-    return !this.response.destroyed && !this.response.writableEnded;
+    const { response } = this;
+    // The answer to a call that was sent behind others has no socket of its own until its turn.
+    return !response.destroyed && !response.writableEnded && !response.req.socket.destroyed;
   }
 
   /** Forwards a target's answer; resolves to false when a long answer was truncated. */
--- a/src/delivery/mailbox.ts
+++ b/src/delivery/mailbox.ts
@@ -15,6 +15,11 @@
     resolveNext(event);
   }
 
+  /** Removes and returns the events that were not received. */
+  drain(): readonly Event[] {
+    return this.events.splice(0);
+  }
+
   /** Resolves to the next event; only one caller may wait at a time. */
   next(): Promise<Event> {
     const event = this.events.shift();
