Discard the rest of bodies whose calls were answered early

Cause: the iterator that read the body listens for 'readable', so that resume() does nothing and the parser stays paused. Change: the rest is discarded through a 'data' listener, up to the limit of bodies.

--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -13,6 +13,7 @@
 import { callDeadlines } from './callDeadlines';
 import { CallerConnection } from './callerConnection';
 import { type DeliveryContext } from './deliveryContext';
+import { discardBody } from './discardBody';
 import { DELIVERY_EVENTS } from './events';
 import { type IncomingCall } from './incomingCall';
 import { type RoutedCall, readCall } from './readCall';
@@ -108,6 +109,10 @@
     socket.once('close', () => this.connections.delete(socket));
   }
 
+  private maxBodyBytes(): number {
+    return this.parts.catalog().configuration?.limits.bodyBytes ?? 0;
+  }
+
   private isStopping(): boolean {
     return this.parts.context.stopDeadline() !== Infinity;
   }
@@ -137,7 +142,7 @@
       if (end.kind === 'own' && answer.isOpen()) answer.respond(end.own, id);
       if (end.kind === 'answer' && answer.isOpen()) await answer.forward(end.answer);
       else if (end.kind === 'answer') end.answer.rest?.cancel();
-      if (!request.complete) request.resume();
+      if (!request.complete) discardBody(request, this.maxBodyBytes());
     } catch (error) {
       this.parts.events.emit(DELIVERY_EVENTS.unexpected, { call: id, reason: String(error) });
       if (response.headersSent) response.destroy();
