Send no calls to targets that leave or ask for quiet

Change: a target that says that it is leaving, in an answer or a health check, gets no call from this host until it starts again; one that turns a call away with 503 and Retry-After gets none until the time is over. One field of the target's statistics holds both.

--- a/src/delivery/answerMetadata.ts
+++ b/src/delivery/answerMetadata.ts
@@ -9,6 +9,10 @@
   readonly load: TargetLoad | null;
   /** Calls per second that the target takes from all hosts; null when it states no limit. */
   readonly callLimit: number | 'unreadable' | null;
+  /** Whether the target states that it is leaving. */
+  readonly isLeaving: boolean;
+  /** Time for which a target that turns a call away wants none, in milliseconds; null without one. */
+  readonly quietMs: number | null;
   /** Remaining warm-up of the target in milliseconds; null when not reported. */
   readonly coldLeft: number | null;
   /** Id of the target that answered; null when not reported. */
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -198,6 +198,7 @@
     const { load, coldLeft } = head.metadata;
     const isForThisCall = head.metadata.callId === null || head.metadata.callId === attempt.call.id;
     if (!isForThisCall || head.status === 421) return;
+    this.recordWishes(attempt.target, head);
     const isNormalAnswer = head.status < 500;
     if (isNormalAnswer && attempt.sentAt !== null) {
       const answerTimeMs = this.clock.now() - attempt.sentAt;
@@ -214,6 +215,16 @@
     this.report(attempt.target, observation, { load, coldLeft, callLimit });
   }
 
+  private recordWishes({ id }: Target, { status, metadata }: AnswerHead): void {
+    const wasQuiet = this.targetStates.isQuiet(id);
+    if (metadata.isLeaving) this.targetStates.recordLeaving(id);
+    if (status === 503 && metadata.quietMs !== null)
+      this.targetStates.recordQuiet(id, metadata.quietMs);
+    if (wasQuiet || !this.targetStates.isQuiet(id)) return;
+    const { isLeaving, quietMs } = metadata;
+    this.events.emit(DELIVERY_EVENTS.targetQuiet, { target: id, isLeaving, quietMs });
+  }
+
   // Only the answer of a call that was run shows that a limit has ended.
   private callLimitOf(
     { target, call }: RunningAttempt,
--- a/src/delivery/events.ts
+++ b/src/delivery/events.ts
@@ -18,4 +18,9 @@
     message: 'target states a limit of calls that is not a number; logged once for each target',
   },
   crash: { number: 2206, level: 'warn', message: 'target crashed while it ran a call' },
+  targetQuiet: {
+    number: 2209,
+    level: 'info',
+    message: 'target wants no calls from this host',
+  },
 });
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -82,12 +82,12 @@
    */
   place(call: IncomingCall, used: ReadonlySet<string>, mayWait: boolean): Placement {
     const catalog = this.parts.catalog();
-    const isUnused = (target: Target) => !used.has(target.id);
-    const preferred = this.pool.preferred(catalog, call.service).filter(isUnused);
+    const mayGet = ({ id }: Target) => !used.has(id) && !this.parts.targetStates.isQuiet(id);
+    const preferred = this.pool.preferred(catalog, call.service).filter(mayGet);
     const requirements = this.requirementsOf(call, mayWait);
     const placement = this.placeAmong(preferred, call, requirements);
     if (placement.kind === 'send' && placement.hasRoom) return placement;
-    const others = this.pool.sampleOthers(catalog, call.service).filter(isUnused);
+    const others = this.pool.sampleOthers(catalog, call.service).filter(mayGet);
     if (others.length === 0) return placement;
     return this.placeAmong([...preferred, ...others], call, requirements);
   }
--- a/src/delivery/probeTask.ts
+++ b/src/delivery/probeTask.ts
@@ -43,7 +43,8 @@
     private readonly target: Target,
     private readonly parts: ProbeParts,
   ) {
-    this.probe = new TargetProbe(target, parts.protocol, parts.clock, parts.onOpened);
+    const onLeaving = () => parts.targetStates.recordLeaving(target.id);
+    this.probe = new TargetProbe(target, parts.protocol, parts.clock, parts.onOpened, onLeaving);
   }
 
   /** Starts or stops periodic probing. */
--- a/src/delivery/targetProbe.ts
+++ b/src/delivery/targetProbe.ts
@@ -21,6 +21,8 @@
     private readonly protocol: CallProtocol,
     private readonly clock: Clock,
     private readonly onOpened: () => void,
+    /** Called when the target states that it is leaving. */
+    private readonly onLeaving: () => void,
   ) {}
 
   /** Sends one probe; resolves to null when it gives no information about the target. */
@@ -45,6 +47,7 @@
             // When another target answers at the address, the probed target is lost: it is no longer
             // reachable there.
             const isOtherTarget = metadata.target !== null && metadata.target !== target.id;
+            if (metadata.isLeaving && !isOtherTarget) this.onLeaving();
             const observation: ObservationKind = status === 200 ? 'probe' : 'ill';
             report = {
               target: target.id,
--- a/src/knowledge/targetStatistics.ts
+++ b/src/knowledge/targetStatistics.ts
@@ -20,6 +20,11 @@
   /** Calls per second that the target takes from all hosts, as stated at `callLimitAt`. */
   callLimit: number;
   callLimitAt: number;
+  /**
+   * Monotonic time until which the target wants no calls from this host; Infinity once it has stated
+   * that it is leaving.
+   */
+  quietUntil: number;
   /** Share of recent calls that failed, from 0 to 1, as of `failureAt`. */
   failureShare: number;
   failureAt: number;
--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -28,6 +28,8 @@
 const CALL_LIMIT_LIFETIME_MS = 60_000;
 // With this many slots left at a target, other hosts must know of a call before they choose it.
 const URGENT_FREE_SLOTS = 1;
+// A stated time without calls is bounded, so that a wrong value does not take a target out for good.
+const MAX_QUIET_MS = 60 * 60 * 1000;
 
 /** Statistics of targets, from the latest observations of this host and of the others. */
 export class TargetStatisticsTable {
@@ -90,6 +92,25 @@
     this.applyObservation(target, report, observedAt);
   }
 
+  /** Records that a target has stated that it is leaving; holds until it starts again. */
+  recordLeaving(id: string): void {
+    const target = this.statistics.get(id);
+    if (target !== undefined) target.quietUntil = Infinity;
+  }
+
+  /** Records that a target wants no calls from this host for some time. */
+  recordQuiet(id: string, quietMs: number): void {
+    const target = this.statistics.get(id);
+    if (target === undefined) return;
+    const until = this.clock.now() + Math.min(quietMs, MAX_QUIET_MS);
+    target.quietUntil = Math.max(target.quietUntil, until);
+  }
+
+  /** Whether a target has stated that it wants no calls from this host now. */
+  isQuiet(id: string): boolean {
+    return (this.statistics.get(id)?.quietUntil ?? -Infinity) > this.clock.now();
+  }
+
   /** Records that this host sent a call to the target. */
   recordSent(id: string): void {
     const target = this.statistics.get(id);
@@ -195,6 +216,7 @@
       coldUntil: target.coldUntil,
       callLimit: Infinity,
       callLimitAt: -Infinity,
+      quietUntil: -Infinity,
       failureShare: 0,
       failureAt: now,
       confirmedHealthyAt: -Infinity,
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -182,7 +182,14 @@
   ): AnswerHead {
     const status = { done: 200, failed: 500, refused: 503, reset: 0 }[kind];
     const metadata = {
-      ...{ callId: call.id, isSigned: true, isNotRun: kind === 'refused', coldLeft: null },
+      ...{
+        callId: call.id,
+        isSigned: true,
+        isNotRun: kind === 'refused',
+        coldLeft: null,
+        isLeaving: false,
+        quietMs: null,
+      },
       callLimit: model.statedLimit,
       ...{ load: { ...model.load(), pace: model.pace() }, target: model.target.id },
     };
