Count one crash of a target once for all equal calls that it ran

Callers of a page that several of them had open got 503 from all hosts for ten minutes after a single crash of one target: each running call counted as a crash of its own, and three equal calls made the three crashes after which a call is refused. The id of a crash was that of the call and the target; it is now that of the target and its start, which crashes once at most. While the source cannot tell of a new start, a second crash of the same target under the same id is not counted.

test/balancer/callPath, three equal calls on one target that crashes, then the page at another: 503 before, 200 after. The test of a call that crashes one target after the other passes before and after.

--- a/src/delivery/crashGuard.ts
+++ b/src/delivery/crashGuard.ts
@@ -42,7 +42,8 @@
     this.clock.setTimer(this.clock.now() + CRASH_CONFIRM_DELAY_MS, () => {
       if (!this.wasLostAfter(target.id, sentAt)) return;
       const fingerprint = this.fingerprint(call);
-      const crashId = `${call.id} ${target.id}`;
+      // One start of a target crashes once, however many such calls it was running.
+      const crashId = `${target.id} ${target.startedAt ?? ''}`;
       this.table.record(fingerprint, crashId);
       this.broadcaster.broadcastCrash(fingerprint, crashId, false);
       const crashes = this.table.count(fingerprint);
--- a/src/exchange/message.ts
+++ b/src/exchange/message.ts
@@ -70,7 +70,7 @@
 export interface CrashNotice {
   readonly kind: 'crash';
   readonly fingerprint: string;
-  /** Id of the call attempt; each attempt is counted once. */
+  /** Id of the crash; with `isCleared`, of the call. */
   readonly callId: string;
   readonly isCleared: boolean;
   readonly shouldRebroadcast?: boolean;
--- a/src/suspects/crashTable.ts
+++ b/src/suspects/crashTable.ts
@@ -7,8 +7,8 @@
 const MAX_FINGERPRINTS = 5000;
 
 interface CrashRecord {
-  /** Call id and target id of each crash. */
-  readonly callsAndTargets: Set<string>;
+  /** Ids of the crashes. */
+  readonly crashes: Set<string>;
   expiresAt: number;
 }
 
@@ -27,17 +27,17 @@
   count(fingerprint: string): number {
     const record = this.records.get(fingerprint);
     if (record === undefined || record.expiresAt <= this.clock.now()) return 0;
-    return record.callsAndTargets.size;
+    return record.crashes.size;
   }
 
-  /** Records that a target crashed while it ran the call; each call counts once per target. */
-  record(fingerprint: string, callAndTarget: string): void {
+  /** Records that a target crashed while it ran the call; `crash` is the same for all its calls. */
+  record(fingerprint: string, crash: string): void {
     this.removeExpired();
     const record = this.records.get(fingerprint) ?? {
-      callsAndTargets: new Set<string>(),
+      crashes: new Set<string>(),
       expiresAt: 0,
     };
-    record.callsAndTargets.add(callAndTarget);
+    record.crashes.add(crash);
     record.expiresAt = this.clock.now() + CRASH_LIFETIME_MS;
     this.records.delete(fingerprint);
     if (this.records.size < MAX_FINGERPRINTS) this.records.set(fingerprint, record);
--- a/test/balancer/callPath.test.ts
+++ b/test/balancer/callPath.test.ts
@@ -253,4 +253,19 @@
     expect(statuses).toEqual([502, 502, 502, 503]);
     expect((await platform.call('GET', '/read/harmless')).status).toBe(200);
   });
+
+  // Guards against a popular page that is refused everywhere, since one crash of a server that ran
+  // it for several callers counted as several crashes.
+  it('counts one crash of a server that ran equal calls once', async () => {
+    platform.configure([{ ...READ, mostAttempts: 1 }]);
+    const server = await platform.addServer('reads', { id: 'i-0', workMs: 400 });
+    await platform.start();
+    const running = [1, 2, 3].map(() => platform.call('GET', '/read/page'));
+    await platform.sleep(150);
+    server.crash();
+    expect((await Promise.all(running)).map(({ status }) => status)).toEqual([502, 502, 502]);
+    await platform.addServer('reads', { id: 'i-1' });
+    await platform.sleep(1000);
+    expect((await platform.call('GET', '/read/page')).status).toBe(200);
+  });
 });
