Tell restarted hosts of calls that crash targets

Hosts that were cut off at that moment never learnt of it either.

What a host knows of a call is now one history whose merge is a union, so it may be told again, late or by another host. A host that joins gets all of them with the members that it asks for, and each host repeats some to two random hosts each half second while there are any; none are sent otherwise.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -176,8 +176,7 @@
       this.crashTable,
       events,
       {
-        broadcastCrash: (fingerprint, callId, isCleared) =>
-          this.exchange.broadcastCrash({ kind: 'crash', fingerprint, callId, isCleared }),
+        broadcastCrashes: (history) => this.exchange.broadcastCrashes(history),
       },
       (target, at) => (this.targetStates.get(target)?.lostAt ?? Infinity) > at,
     );
@@ -394,9 +393,9 @@
         for (const count of others) this.inFlightCounts.apply(count);
         if (shouldRebroadcast) this.inFlightBroadcaster.rebroadcast(others);
       },
-      onCrash: ({ fingerprint, callId, isCleared }) => {
-        if (isCleared) this.crashTable.clear(fingerprint);
-        else this.crashTable.record(fingerprint, callId);
+      crashHistories: () => this.crashTable.histories(),
+      onCrashes: (histories) => {
+        for (const history of histories) this.crashTable.apply(history);
       },
     });
   }
--- a/src/delivery/crashGuard.ts
+++ b/src/delivery/crashGuard.ts
@@ -1,3 +1,4 @@
+import { type CrashHistory } from '../knowledge';
 import { type EventSink } from '../logging';
 import { type Clock } from '../runtime';
 import { CRASHES_TO_REFUSE, type CrashTable, fingerprintOf } from '../suspects';
@@ -9,9 +10,9 @@
 // Time within which a crashed target is observed to refuse connections.
 const CRASH_CONFIRM_DELAY_MS = 400;
 
-/** Sends crash reports to the other hosts; `isCleared` when such a call was answered. */
+/** Sends a changed history of crashes to the other hosts. */
 export interface CrashBroadcaster {
-  broadcastCrash(fingerprint: string, callId: string, isCleared: boolean): void;
+  broadcastCrashes(history: CrashHistory): void;
 }
 
 /** Detects and refuses calls that crash the targets that run them (queries of death). */
@@ -43,9 +44,8 @@
       if (!this.wasLostAfter(target.id, sentAt)) return;
       const fingerprint = this.fingerprint(call);
       // One start of a target crashes once, however many such calls it was running.
-      const crashId = `${target.id} ${target.startedAt ?? ''}`;
-      this.table.record(fingerprint, crashId);
-      this.broadcaster.broadcastCrash(fingerprint, crashId, false);
+      const crash = `${target.id} ${target.startedAt ?? ''}`;
+      this.broadcaster.broadcastCrashes(this.table.record(fingerprint, crash));
       const crashes = this.table.count(fingerprint);
       this.events.emit(DELIVERY_EVENTS.crash, { call: call.id, target: target.id, crashes });
     });
@@ -54,9 +54,7 @@
   /** Clears the suspicion against a call that was answered. */
   recordAnswered(call: IncomingCall): void {
     if (!this.isSuspect(call)) return;
-    const fingerprint = this.fingerprint(call);
-    this.table.clear(fingerprint);
-    this.broadcaster.broadcastCrash(fingerprint, call.id, true);
+    this.broadcaster.broadcastCrashes(this.table.clear(this.fingerprint(call)));
   }
 
   private fingerprint(call: IncomingCall): string {
--- a/src/exchange/datagramCodec.ts
+++ b/src/exchange/datagramCodec.ts
@@ -1,6 +1,6 @@
 import { type Message } from './message';
 import { decodePacked, encodePacked, PACKED_CODECS, type PackedMessage } from './packedCodec';
-import { changesFieldsSchema, crashFieldsSchema, heartbeatSchema } from './textSchemas';
+import { changesFieldsSchema, crashesFieldsSchema, heartbeatSchema } from './textSchemas';
 
 /** Protocol version; datagrams of any other version are dropped. */
 export const EXCHANGE_VERSION = 3;
@@ -83,18 +83,21 @@
       return { kind: 'changes', shouldRebroadcast: shouldRebroadcast === 1, text };
     },
   },
-  crash: {
-    encode: (notice) => [
-      ...[notice.shouldRebroadcast ? 1 : 0, notice.fingerprint, notice.callId],
-      notice.isCleared ? 1 : 0,
+  crashes: {
+    encode: ({ shouldRebroadcast, histories }) => [
+      shouldRebroadcast ? 1 : 0,
+      histories.map(({ fingerprint, crashes, cleared, leftMs }) => [
+        ...[fingerprint, crashes, cleared, leftMs],
+      ]),
     ],
     decode: (fields) => {
-      const [shouldRebroadcast, fingerprint, callId, isCleared] = crashFieldsSchema.parse(fields);
+      const [shouldRebroadcast, histories] = crashesFieldsSchema.parse(fields);
       return {
-        kind: 'crash',
+        kind: 'crashes',
         shouldRebroadcast: shouldRebroadcast === 1,
-        ...{ fingerprint, callId },
-        isCleared: isCleared === 1,
+        histories: histories.map(([fingerprint, crashes, cleared, leftMs]) => ({
+          ...{ fingerprint, crashes, cleared, leftMs },
+        })),
       };
     },
   },
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -1,20 +1,21 @@
 import { type CatalogChanges, decodeChanges, encodeChanges } from '../catalog';
-import { type InFlightCounts, isLargeZone, type TargetReport } from '../knowledge';
+import {
+  type CrashHistory,
+  type InFlightCounts,
+  isLargeZone,
+  type TargetReport,
+} from '../knowledge';
 import { sample } from '../runtime';
 
 import { CatalogPuller } from './catalogPuller';
+import { CrashGossip } from './crashGossip';
 import { MAX_DATAGRAM_BYTES, decodeMessage, encodeMessage } from './datagramCodec';
 import { type DatagramLink } from './datagramLink';
 import { EXCHANGE_EVENTS } from './events';
 import { type HostAddress } from './hostAddress';
 import { Membership } from './membership';
 import { type HostView, MembershipGossip } from './membershipGossip';
-import {
-  type CrashNotice,
-  type InFlightCountsMessage,
-  type Message,
-  type ReportsMessage,
-} from './message';
+import { type InFlightCountsMessage, type Message, type ReportsMessage } from './message';
 import { OtherZones } from './otherZones';
 
 // A change that does not fit into a datagram is told to this many hosts of each other zone, since the
@@ -38,7 +39,9 @@
     counts: readonly InFlightCounts[],
     shouldRebroadcast: boolean,
   ) => void;
-  readonly onCrash: (notice: CrashNotice) => void;
+  /** What this host knows of crashes during calls. */
+  readonly crashHistories: () => readonly CrashHistory[];
+  readonly onCrashes: (histories: readonly CrashHistory[]) => void;
 }
 
 type MessageHandlers = {
@@ -76,10 +79,13 @@
 
   private readonly puller: CatalogPuller;
 
+  private readonly crashGossip: CrashGossip;
+
   // A lookup table, as some hundred datagrams arrive each second.
   private readonly handlers: MessageHandlers = {
     heartbeat: (heartbeat, fromIp) => {
       this.gossip.receiveHeartbeat(heartbeat, fromIp);
+      if (heartbeat.shouldReplyWithMembers) this.crashGossip.sendAll(heartbeat.host[2]);
       this.puller.check();
     },
     digest: (digest, fromIp) => {
@@ -98,9 +104,9 @@
       this.parts.ledger.apply(changes);
       if (message.shouldRebroadcast) this.rebroadcast({ ...message, shouldRebroadcast: false });
     },
-    crash: (notice) => {
-      this.parts.onCrash(notice);
-      if (notice.shouldRebroadcast) this.rebroadcast({ ...notice, shouldRebroadcast: false });
+    crashes: (message) => {
+      this.parts.onCrashes(message.histories);
+      if (message.shouldRebroadcast) this.rebroadcast({ ...message, shouldRebroadcast: false });
     },
   };
 
@@ -111,6 +117,10 @@
     this.otherZones = new OtherZones({ clock, random, self, zones, membership });
     const send = (ips: readonly string[], message: Message) => this.send(ips, message);
     this.gossip = new MembershipGossip({ ...parts, otherZones: this.otherZones, send }, membership);
+    this.crashGossip = new CrashGossip({
+      ...{ clock, random, membership, send },
+      histories: parts.crashHistories,
+    });
     this.puller = new CatalogPuller({
       ...{ clock, random, events, ledger, pull, zone: self.zone, membership },
       onPulled: () => {
@@ -124,11 +134,13 @@
   start(): void {
     this.parts.link.onDatagram((bytes, fromIp) => this.receive(bytes, fromIp));
     this.gossip.start();
+    this.crashGossip.start();
   }
 
   /** Stops the heartbeats; the caller closes the link. */
   close(): void {
     this.puller.close();
+    this.crashGossip.close();
     this.gossip.close();
   }
 
@@ -203,10 +215,11 @@
     else this.sendTo(this.membership.neighbours(), message);
   }
 
-  /** Sends a crash notice to all hosts. */
-  broadcastCrash(notice: CrashNotice): void {
-    this.sendTo(this.membership.neighbours(), notice);
-    this.sendTo(this.otherZones.choose('crash'), { ...notice, shouldRebroadcast: true });
+  /** Sends a changed history of crashes to all hosts. */
+  broadcastCrashes(history: CrashHistory): void {
+    const message: Message = { kind: 'crashes', histories: [history] };
+    this.sendTo(this.membership.neighbours(), message);
+    this.sendTo(this.otherZones.choose('crashes'), { ...message, shouldRebroadcast: true });
   }
 
   private receive(bytes: Buffer, fromIp: string): void {
--- a/src/exchange/index.ts
+++ b/src/exchange/index.ts
@@ -1,7 +1,7 @@
 export { type HostAddress } from './hostAddress';
 export { type KnownHost } from './knownHost';
 export { Membership } from './membership';
-export { type CrashNotice, type Message } from './message';
+export { type Message } from './message';
 export { type DatagramLink, openDatagramLink } from './datagramLink';
 export { Exchange, type ExchangeParts } from './exchange';
 export { EXCHANGE_EVENTS } from './events';
--- a/src/exchange/message.ts
+++ b/src/exchange/message.ts
@@ -1,5 +1,5 @@
 import { type SourceState } from '../source';
-import { type InFlightCounts, type TargetReport } from '../knowledge';
+import { type CrashHistory, type InFlightCounts, type TargetReport } from '../knowledge';
 
 /** State of the sending host; with `members`, also the hosts that it knows. */
 export interface Heartbeat {
@@ -66,16 +66,13 @@
   readonly shouldRebroadcast?: boolean;
 }
 
-/** A target crashed while it executed a call; with `isCleared`, such a call completed normally. */
-export interface CrashNotice {
-  readonly kind: 'crash';
-  readonly fingerprint: string;
-  /** Id of the crash; with `isCleared`, of the call. */
-  readonly callId: string;
-  readonly isCleared: boolean;
+/** Calls during which targets crashed. */
+export interface CrashesMessage {
+  readonly kind: 'crashes';
+  readonly histories: readonly CrashHistory[];
   readonly shouldRebroadcast?: boolean;
 }
 
 /** Any message between hosts. */
 export type Message =
-  Heartbeat | Digest | ReportsMessage | InFlightCountsMessage | ChangesMessage | CrashNotice;
+  Heartbeat | Digest | ReportsMessage | InFlightCountsMessage | ChangesMessage | CrashesMessage;
--- a/src/exchange/textSchemas.ts
+++ b/src/exchange/textSchemas.ts
@@ -3,6 +3,8 @@
 const hostSchema = z.tuple([z.string(), z.string(), z.string()]);
 const flag = z.union([z.literal(0), z.literal(1)]);
 const count = z.number().int().nonnegative();
+const MAX_ID_LENGTH = 300;
+const MAX_CRASH_IDS = 100;
 
 /** Fields of a heartbeat by position, which is the wire format; the last five may be left out. */
 export const heartbeatSchema = z.tuple([
@@ -24,5 +26,10 @@
 /** Fields of catalog changes by position. */
 export const changesFieldsSchema = z.tuple([flag, z.string()]);
 
-/** Fields of a crash notice by position. */
-export const crashFieldsSchema = z.tuple([flag, z.string(), z.string(), flag]);
+const crashIds = z.array(z.string().max(MAX_ID_LENGTH)).max(MAX_CRASH_IDS);
+
+/** Fields of the histories of crashes by position. */
+export const crashesFieldsSchema = z.tuple([
+  flag,
+  z.array(z.tuple([z.string().max(MAX_ID_LENGTH), crashIds, crashIds, count])),
+]);
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -106,7 +106,7 @@
         clock,
         new CrashTable(clock),
         events,
-        { broadcastCrash: () => {} },
+        { broadcastCrashes: () => {} },
         () => false,
       ),
       retryBudgetLimits: { ratio: 0.2, slack: 60, windowMs: 10_000 },
--- a/test/balancer/malformedBytes.test.ts
+++ b/test/balancer/malformedBytes.test.ts
@@ -31,7 +31,10 @@
     kind: 'changes',
     text: JSON.stringify({ after: 0, asOf: 1, records: [{ key: 'k', revision: 1, fact: null }] }),
   },
-  { kind: 'crash', fingerprint: 'f', callId: 'c', isCleared: false },
+  {
+    kind: 'crashes',
+    histories: [{ fingerprint: 'f', crashes: ['i-1 7'], cleared: [], leftMs: 300 }],
+  },
   { kind: 'flights', counts: [{ host: 5, sequence: 1, calls: new Map([[7, 2]]) }] },
   {
     kind: 'reports',
--- a/test/exchange/datagramCodec.test.ts
+++ b/test/exchange/datagramCodec.test.ts
@@ -48,11 +48,9 @@
     shouldReplyWithMembers: false,
   },
   {
-    kind: 'crash',
+    kind: 'crashes',
     shouldRebroadcast: true,
-    fingerprint: 'GET /x',
-    callId: 'c-1',
-    isCleared: false,
+    histories: [{ fingerprint: 'f', crashes: ['i-1 7', 'i-2 9'], cleared: ['i-1 7'], leftMs: 300 }],
   },
 ];
 
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -8,6 +8,7 @@
 } from '../../src/knowledge';
 import { type ManualClock, type Random, SeededRandom, waitUntil } from '../../src/runtime';
 import { CatalogReader, mustRead } from '../../src/source';
+import { CrashTable } from '../../src/suspects';
 
 import { type SimulatedSource } from './simulatedSource';
 
@@ -25,6 +26,7 @@
   readonly reports: TargetReport[];
   readonly reader: CatalogReader | null;
   readonly inFlightTable: InFlightTable;
+  readonly crashTable: CrashTable;
   readonly inFlightBroadcaster: InFlightBroadcaster;
   sentBytes: number;
   sentDatagrams: number;
@@ -82,6 +84,7 @@
       close: () => Promise.resolve(),
     };
     const inFlightTable = new InFlightTable(this.clock);
+    const crashTable = new CrashTable(this.clock);
     const inFlightBroadcaster = new InFlightBroadcaster(this.clock, id, {
       broadcastInFlightCounts: (counts, isCrossZone) =>
         this.hosts.get(id)!.exchange.broadcastInFlightCounts(counts, isCrossZone),
@@ -105,12 +108,16 @@
         for (const count of counts) inFlightTable.apply(count);
         if (shouldRebroadcast) inFlightBroadcaster.rebroadcast(counts);
       },
-      onCrash: () => {},
+      crashHistories: () => crashTable.histories(),
+      onCrashes: (histories) => {
+        for (const history of histories) crashTable.apply(history);
+      },
     });
     const host: SimulatedHost = {
       address,
       inFlightTable,
       inFlightBroadcaster,
+      crashTable,
       ledger,
       exchange,
       reports,
