Keep the shares of weighted routes while targets come and go

The weighted round-robin of a host began anew at each change of the catalog, at a random point: with few calls between two changes a part with a fifth of the weight got no call at all. It is now kept until the configuration changes the route.

test/balancer/callPath, 20 calls with a change of a target between any two, weights 80 and 20: 0 calls to the second part before, 3 to 5 after (the test asks for that).

--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -73,11 +73,11 @@
 
   /** Applies the limits of a new configuration. */
   applyCatalog(catalog: Catalog): void {
-    const limits = catalog.configuration?.limits;
-    if (limits === undefined) return;
+    if (catalog.configuration === null) return;
+    const { limits, routes } = catalog.configuration;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
     this.server.headersTimeout = limits.headerTimeoutMs;
-    this.serviceChoice.clear();
+    this.serviceChoice.retain(routes);
     for (const resume of this.awaitingConfiguration) resume();
   }
 
--- a/test/balancer/callPath.test.ts
+++ b/test/balancer/callPath.test.ts
@@ -230,6 +230,31 @@
     expect((await platform.call('GET', '/read/x')).status).toBe(200);
   });
 
+  // Guards against shares that are left to chance, since each change of a target began them anew.
+  it('distributes few calls by weight while targets come and go', async () => {
+    platform.configure([
+      {
+        ...READ,
+        parts: [
+          { service: 'one', weight: 80 },
+          { service: 'two', weight: 20 },
+        ],
+      },
+    ]);
+    for (const service of ['one', 'two']) await platform.addServer(service, { id: `i-${service}` });
+    await platform.start();
+    const catalogChanges = () => platform.events.filter(({ number }) => number === 2308).length;
+    for (let call = 0; call < 20; call += 1) {
+      await platform.call('GET', '/read/x');
+      const changes = catalogChanges();
+      await platform.addServer('three', { id: `i-${call}` });
+      await platform.until(() => catalogChanges() > changes);
+    }
+    const share = platform.servers.get('i-two')!.runs.length;
+    expect(share).toBeGreaterThanOrEqual(3);
+    expect(share).toBeLessThanOrEqual(5);
+  });
+
   // Guards against a query of death: a call that its caller sends again and that crashes one server
   // after the other.
   it('refuses a call that crashed its servers, and no other', async () => {
