End all calls of a caller that leaves

Targets went on working for calls that a caller had sent behind each other before it left: Node.js closes only the first of the answers that wait for their turn, and the end of a call was bound to its answer. It is now bound to the connection.

test/balancer/callerLeaves, three lookups on one connection: after 500 ms one of three was cancelled at its target before, three of three after.

--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -135,7 +135,7 @@
     const header = request.headers[protocol.callIdHeader];
     const id = typeof header === 'string' ? header : '';
     try {
-      const { call, end } = await this.handle(request, response, id, arrivedAt);
+      const { call, end } = await this.handle(request, connection, id, arrivedAt);
       observer.onEnd(call, end, clock.now() - arrivedAt);
       this.logEnd(id, call, end, clock.now() - arrivedAt);
       await earlierCallsEnded;
@@ -161,7 +161,7 @@
 
   private async handle(
     request: IncomingMessage,
-    response: ServerResponse,
+    connection: CallerConnection,
     id: string,
     arrivedAt: number,
   ): Promise<{ call: IncomingCall | null; end: CallEnd }> {
@@ -173,12 +173,8 @@
     if ('detail' in call)
       return { call: null, end: { kind: 'own', own: { kind: 'rejected', ...call } } };
     const run = new CallRun(this.parts.context, call);
-    response.on('close', () => {
-      if (!response.writableFinished) run.callerLeft();
-    });
-    if (response.destroyed) run.callerLeft();
     this.runs.add(run);
-    const end = await run.run().finally(() => this.runs.delete(run));
+    const end = await connection.run(run).finally(() => this.runs.delete(run));
     return { call, end };
   }
 
--- a/src/delivery/callerConnection.ts
+++ b/src/delivery/callerConnection.ts
@@ -3,6 +3,9 @@
 
 import { type Clock } from '../runtime';
 
+import { type CallEnd } from './callEnd';
+import { type CallRun } from './callRun';
+
 // A caller that has read its last answer closes the connection; one that does not is disconnected.
 const LINGER_MS = 500;
 
@@ -10,6 +13,8 @@
 export class CallerConnection {
   private readonly openCalls = new Set<() => void>();
 
+  private readonly runs = new Set<CallRun>();
+
   private lastCallEnded: Promise<void> = Promise.resolve();
 
   private mayReadCalls = true;
@@ -23,6 +28,7 @@
     socket.destroySoon = () => this.close();
     socket.once('close', () => {
       for (const end of this.openCalls) end();
+      for (const run of this.runs) run.callerLeft();
     });
   }
 
@@ -62,6 +68,14 @@
     return earlierCallsEnded;
   }
 
+  /** Runs a call to its end; the caller leaves it by closing the connection. */
+  async run(run: CallRun): Promise<CallEnd> {
+    // Only the first of the answers that wait for their turn is closed with the connection.
+    if (this.socket.destroyed) run.callerLeft();
+    this.runs.add(run);
+    return run.run().finally(() => this.runs.delete(run));
+  }
+
   /** Ends the connection, and discards what the caller still sends until it closes its side. */
   close(): void {
     if (this.socket.writableEnded || this.socket.destroyed) return;
