Reject calls at once while their targets want none, until the stated time

While all targets of a service asked for quiet (503 with Retry-After), a call waited for an eighth of its objective as if a target might appear, and its caller was told to come back after 0.1 to 0.4 s, over and over. Targets that ask for quiet were left out of the candidates, so that placement didn't know when they would take calls. Their time is now part of the one time before which a target gets no call, beside its cold rate and stated limit: calls are rejected at once, and Retry-After is the time until the first target wants calls, plus a spread by rank, urgent calls first (a third of the time that the caller has left at the most).

--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -305,6 +305,7 @@
       workMs: this.workMs(),
       rank: placer.rankOf(this.call),
       callIntervalMs: reason === 'limited' ? placer.callIntervalMs(this.call.service) : 0,
+      quietForMs: reason === 'limited' ? placer.quietForMs(this.call.service) : 0,
     };
     const retryAfterMs = retryAfter(reason, input, random);
     return { kind: 'own', own: { kind: 'notRun', reason, retryAfterMs } };
--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -216,7 +216,7 @@
   ): OwnAnswer {
     const statedTimeoutMs = Number(request.headers[this.parts.protocol.timeoutHeader]);
     const leftMs = statedTimeoutMs > 0 ? statedTimeoutMs : DEFAULT_TIMEOUT_MS;
-    const input = { leftMs, workMs: 0, rank: 0, callIntervalMs: 0 };
+    const input = { leftMs, workMs: 0, rank: 0, callIntervalMs: 0, quietForMs: 0 };
     return { kind: 'notRun', reason, retryAfterMs: retryAfter(reason, input, this.parts.random) };
   }
 
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -216,13 +216,14 @@
   }
 
   private recordWishes({ id }: Target, { status, metadata }: AnswerHead): void {
+    const wasLeaving = this.targetStates.isLeaving(id);
     const wasQuiet = this.targetStates.isQuiet(id);
     if (metadata.isLeaving) this.targetStates.recordLeaving(id);
     if (status === 503 && metadata.quietMs !== null)
       this.targetStates.recordQuiet(id, metadata.quietMs);
-    if (wasQuiet || !this.targetStates.isQuiet(id)) return;
     const { isLeaving, quietMs } = metadata;
-    this.events.emit(DELIVERY_EVENTS.targetQuiet, { target: id, isLeaving, quietMs });
+    const isNews = isLeaving ? !wasLeaving : !wasQuiet && this.targetStates.isQuiet(id);
+    if (isNews) this.events.emit(DELIVERY_EVENTS.targetQuiet, { target: id, isLeaving, quietMs });
   }
 
   // Only the answer of a call that was run shows that a limit has ended.
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -82,7 +82,7 @@
    */
   place(call: IncomingCall, used: ReadonlySet<string>, mayWait: boolean): Placement {
     const catalog = this.parts.catalog();
-    const mayGet = ({ id }: Target) => !used.has(id) && !this.parts.targetStates.isQuiet(id);
+    const mayGet = ({ id }: Target) => !used.has(id) && !this.parts.targetStates.isLeaving(id);
     const preferred = this.pool.preferred(catalog, call.service).filter(mayGet);
     const requirements = this.requirementsOf(call, mayWait);
     const placement = this.placeAmong(preferred, call, requirements);
@@ -214,23 +214,42 @@
     return Math.min(stated, catalog().services.get(target.service)?.coldRatePerSecond ?? 0);
   }
 
-  /** Time until this host may send a call to a target that limits its calls, in milliseconds. */
+  /**
+   * Time until this host may send a call to a target that limits its calls or wants none for now, in
+   * milliseconds.
+   */
   private limitedForMs(target: Target): number {
+    const quietForMs = this.parts.targetStates.quietForMs(target.id);
     const rate = this.callRate(target);
-    if (rate === Infinity) return 0;
-    return this.rateLimiter.delay(target.id, this.parts.callShare(target, rate));
+    if (rate === Infinity) return quietForMs;
+    const delayMs = this.rateLimiter.delay(target.id, this.parts.callShare(target, rate));
+    return Math.max(quietForMs, delayMs);
+  }
+
+  /** Time until the first target of a service that is not leaving wants calls, in milliseconds. */
+  quietForMs(service: string): number {
+    const { targetStates } = this.parts;
+    const times = this.usableTargets(service)
+      .map(({ id }) => targetStates.quietForMs(id))
+      .filter((time) => time !== Infinity);
+    return times.length === 0 ? 0 : Math.min(...times);
   }
 
   /** Mean time between the calls that all targets of a service allow together, in milliseconds. */
   callIntervalMs(service: string): number {
-    const { catalog, targetStates } = this.parts;
+    const { targetStates } = this.parts;
     let rate = 0;
-    for (const target of catalog().targetsByService.get(service) ?? [])
-      if (target.state === 'ready' && !catalog().zonesOut.has(target.zone))
-        rate += targetStates.callLimit(targetStates.get(target.id)!);
+    for (const { id } of this.usableTargets(service))
+      rate += targetStates.callLimit(targetStates.get(id)!);
     return rate === 0 ? 0 : 1000 / rate;
   }
 
+  private usableTargets(service: string): readonly Target[] {
+    const { targetsByService, zonesOut } = this.parts.catalog();
+    const targets = targetsByService.get(service) ?? [];
+    return targets.filter(({ state, zone }) => state === 'ready' && !zonesOut.has(zone));
+  }
+
   private toCandidate(target: Target): Candidate {
     const { clock, targetStates, zone } = this.parts;
     const targetState = targetStates.get(target.id)!;
--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -101,16 +101,30 @@
   /** Records that a target wants no calls from this host for some time. */
   recordQuiet(id: string, quietMs: number): void {
     const target = this.statistics.get(id);
-    if (target === undefined) return;
+    if (target === undefined || quietMs <= 0) return;
     const until = this.clock.now() + Math.min(quietMs, MAX_QUIET_MS);
     target.quietUntil = Math.max(target.quietUntil, until);
   }
 
-  /** Whether a target has stated that it wants no calls from this host now. */
+  /** Whether a target wants no calls from this host now. */
   isQuiet(id: string): boolean {
     return (this.statistics.get(id)?.quietUntil ?? -Infinity) > this.clock.now();
   }
 
+  /** Whether a target has stated that it is leaving. */
+  isLeaving(id: string): boolean {
+    return this.statistics.get(id)?.quietUntil === Infinity;
+  }
+
+  /**
+   * Time in milliseconds for which a target wants no calls from this host; Infinity for one that is
+   * leaving.
+   */
+  quietForMs(id: string): number {
+    const quietUntil = this.statistics.get(id)?.quietUntil ?? -Infinity;
+    return Math.max(0, quietUntil - this.clock.now());
+  }
+
   /** Records that this host sent a call to the target. */
   recordSent(id: string): void {
     const target = this.statistics.get(id);
--- a/src/placement/retryAfter.ts
+++ b/src/placement/retryAfter.ts
@@ -14,6 +14,8 @@
   readonly rank: number;
   /** Mean time between the calls that the limits of the targets allow, in milliseconds. */
   readonly callIntervalMs: number;
+  /** Time until the first target wants calls again, in milliseconds. */
+  readonly quietForMs: number;
 }
 
 type DelayRange = readonly [minMs: number, maxMs: number];
@@ -26,10 +28,10 @@
   unchecked: () => [100, 400],
   allCold: () => [200, 600],
   // Another host may have the next call; urgent calls return first.
-  limited: ({ callIntervalMs, rank }) => [
-    callIntervalMs * (1 + rank),
-    callIntervalMs * (3 + 2 * rank),
-  ],
+  limited: ({ callIntervalMs, quietForMs, workMs, rank }) => {
+    const intervalMs = Math.max(callIntervalMs, quietForMs > 0 ? workMs : 0);
+    return [quietForMs + intervalMs * (1 + rank), quietForMs + intervalMs * (3 + 2 * rank)];
+  },
   // A queue of one call per slot drains within the time of one call; urgent calls return first.
   overloaded: ({ workMs, rank }) => [workMs * (0.5 + 0.5 * rank), workMs * (1.5 + rank)],
   // Targets that refuse despite free slots may accept the next call; waiting would make it late.
--- a/test/balancer/targetWishes.test.ts
+++ b/test/balancer/targetWishes.test.ts
@@ -48,6 +48,13 @@
     expect(server.received.length).toBeGreaterThan(0);
   }
 
+  function answerQuiet(seconds: number): void {
+    first.onCall = ({ socket, id }) => {
+      const text = withHeader(answerText(id, '', 503), `Retry-After: ${seconds}`);
+      socket.write(withHeader(text, 'Not-Executed: 1'));
+    };
+  }
+
   async function removeSecond(): Promise<void> {
     platform.store.remove('servers/i-second');
     await platform.until(
@@ -119,4 +126,16 @@
     await platform.sleep(300);
     expect(await call()).toBe(200);
   });
+
+  // Guards against callers that come back while no target wants their calls, or that wait for nothing.
+  it('tells callers at once when its quiet time ends', async () => {
+    await removeSecond();
+    answerQuiet(2);
+    expect(await call()).toBe(503);
+    const askedAt = performance.now();
+    const reply = await platform.call('POST', '/book/x', { body: 'seat', timeLeft: 9000 });
+    const endsInMs = askedAt + 2000 - performance.now();
+    expect([reply.status, reply.elapsedMs < 100]).toEqual([503, true]);
+    expect(Number(reply.headers['retry-after']) * 1000).toBeGreaterThanOrEqual(endsInMs);
+  });
 });
--- a/test/placement/otherDecisions.test.ts
+++ b/test/placement/otherDecisions.test.ts
@@ -54,7 +54,7 @@
   // Guards against a delay that callers do not honour, and against callers that return all at once.
   it('is randomized and at most a third of the time left', () => {
     const random = new SeededRandom(3);
-    const input = { leftMs: 600, workMs: 100, rank: 0, callIntervalMs: 0 };
+    const input = { leftMs: 600, workMs: 100, rank: 0, callIntervalMs: 0, quietForMs: 0 };
     const times = Array.from({ length: 100 }, () => retryAfter('overloaded', input, random));
     expect(Math.max(...times)).toBeLessThanOrEqual(200);
     expect(Math.max(...times) - Math.min(...times)).toBeGreaterThan(50);
@@ -62,7 +62,7 @@
 
   // Load pattern: all targets refuse a share of their calls at once although they have free slots.
   it('is short when targets refused a call without being full', () => {
-    const input = { leftMs: 1000, workMs: 100, rank: 1, callIntervalMs: 0 };
+    const input = { leftMs: 1000, workMs: 100, rank: 1, callIntervalMs: 0, quietForMs: 0 };
     expect(retryAfter('refused', input, new SeededRandom(3))).toBeLessThanOrEqual(40);
   });
 
@@ -74,7 +74,7 @@
       for (let turn = 0; turn < 200; turn += 1) {
         sum += retryAfter(
           'overloaded',
-          { leftMs: 3000, workMs: 100, rank, callIntervalMs: 0 },
+          { leftMs: 3000, workMs: 100, rank, callIntervalMs: 0, quietForMs: 0 },
           random,
         );
       }
