Return gradually to a target that asked for quiet

At the end of the time for which a target wanted no calls, a host sent it everything that waited: it was full again and turned calls away. A host now has one call in flight at it until an answer comes, and twice as many after each answer, up to its slots. Answers that other hosts report count too.

--- a/src/knowledge/targetStatistics.ts
+++ b/src/knowledge/targetStatistics.ts
@@ -25,6 +25,11 @@
    * that it is leaving.
    */
   quietUntil: number;
+  /**
+   * Calls that this host may have in flight at the target; finite after a time without calls, until
+   * answers have shown that the target takes them again.
+   */
+  callAllowance: number;
   /** Share of recent calls that failed, from 0 to 1, as of `failureAt`. */
   failureShare: number;
   failureAt: number;
--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -30,6 +30,10 @@
 const URGENT_FREE_SLOTS = 1;
 // A stated time without calls is bounded, so that a wrong value does not take a target out for good.
 const MAX_QUIET_MS = 60 * 60 * 1000;
+// Growth of the calls in flight at a target that has asked for none, for each answer afterwards.
+const ALLOWANCE_GROWTH = 2;
+// A call at a target that takes few may end at any moment.
+const FULL_ALLOWANCE_DELAY_MS = 1;
 
 /** Statistics of targets, from the latest observations of this host and of the others. */
 export class TargetStatisticsTable {
@@ -104,6 +108,7 @@
     if (target === undefined || quietMs <= 0) return;
     const until = this.clock.now() + Math.min(quietMs, MAX_QUIET_MS);
     target.quietUntil = Math.max(target.quietUntil, until);
+    target.callAllowance = 1;
   }
 
   /** Whether a target wants no calls from this host now. */
@@ -117,12 +122,17 @@
   }
 
   /**
-   * Time in milliseconds for which a target wants no calls from this host; Infinity for one that is
-   * leaving.
+   * Time in milliseconds for which a target wants no calls from this host, or no more than run;
+   * Infinity for one that is leaving.
    */
   quietForMs(id: string): number {
-    const quietUntil = this.statistics.get(id)?.quietUntil ?? -Infinity;
-    return Math.max(0, quietUntil - this.clock.now());
+    const target = this.statistics.get(id);
+    if (target === undefined) return 0;
+    const isAllowanceUsed = target.ownInFlight >= target.callAllowance;
+    return Math.max(
+      target.quietUntil - this.clock.now(),
+      isAllowanceUsed ? FULL_ALLOWANCE_DELAY_MS : 0,
+    );
   }
 
   /** Records that this host sent a call to the target. */
@@ -187,6 +197,7 @@
       case 'answer':
         target.confirmedHealthyAt = Math.max(target.confirmedHealthyAt, observedAt);
         this.recordResult(target, 0);
+        if (observedAt > target.quietUntil) this.extendAllowance(target);
         break;
       case 'probe':
         target.confirmedHealthyAt = Math.max(target.confirmedHealthyAt, observedAt);
@@ -208,6 +219,11 @@
     }
   }
 
+  private extendAllowance(target: TargetStatistics): void {
+    const extended = target.callAllowance * ALLOWANCE_GROWTH;
+    target.callAllowance = extended > target.slots ? Infinity : extended;
+  }
+
   private recordResult(target: TargetStatistics, failure: number): void {
     const share = this.failureShare(target);
     target.failureShare = share + FAILURE_SMOOTHING_WEIGHT * (failure - share);
@@ -231,6 +247,7 @@
       callLimit: Infinity,
       callLimitAt: -Infinity,
       quietUntil: -Infinity,
+      callAllowance: Infinity,
       failureShare: 0,
       failureAt: now,
       confirmedHealthyAt: -Infinity,
--- a/test/balancer/targetWishes.test.ts
+++ b/test/balancer/targetWishes.test.ts
@@ -138,4 +138,25 @@
     expect([reply.status, reply.elapsedMs < 100]).toEqual([503, true]);
     expect(Number(reply.headers['retry-after']) * 1000).toBeGreaterThanOrEqual(endsInMs);
   });
+
+  // Guards against a burst at the end of a quiet time that makes the target turn calls away again.
+  it('gets few calls until it has answered some after its quiet time', async () => {
+    await removeSecond();
+    answerQuiet(0.3);
+    expect(await call()).toBe(503);
+    let running = 0;
+    const runningAtAnswer: number[] = [];
+    first.onCall = ({ socket, id }) => {
+      running += 1;
+      setTimeout(() => {
+        runningAtAnswer.push(running);
+        running -= 1;
+        socket.write(answerText(id, 'x'));
+      }, 50);
+    };
+    await platform.sleep(350);
+    for (let round = 0; round < 4; round += 1) await callMany();
+    expect(runningAtAnswer[0]).toBe(1);
+    expect(Math.max(...runningAtAnswer)).toBeGreaterThan(2);
+  });
 });
