--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -135,7 +135,7 @@
     const header = request.headers[protocol.callIdHeader];
     const id = typeof header === 'string' ? header : '';
     try {
-      const { call, end } = await this.handle(request, response, id, arrivedAt);
+      const { call, end } = await this.handle(request, connection, id, arrivedAt);
       observer.onEnd(call, end, clock.now() - arrivedAt);
       this.logEnd(id, call, end, clock.now() - arrivedAt);
       await earlierCallsEnded;
@@ -161,7 +161,7 @@
 
   private async handle(
     request: IncomingMessage,
-    response: ServerResponse,
+    connection: CallerConnection,
     id: string,
     arrivedAt: number,
   ): Promise<{ call: IncomingCall | null; end: CallEnd }> {
@@ -173,12 +173,8 @@
     if ('detail' in call)
       return { call: null, end: { kind: 'own', own: { kind: 'rejected', ...call } } };
     const run = new CallRun(this.parts.context, call);
-    response.on('close', () => {
-      if (!response.writableFinished) run.callerLeft();
-    });
-    if (response.destroyed) run.callerLeft();
     this.runs.add(run);
-    const end = await run.run().finally(() => this.runs.delete(run));
+    const end = await connection.run(run).finally(() => this.runs.delete(run));
     return { call, end };
   }
 
@@ -220,7 +216,7 @@
   ): OwnAnswer {
     const statedTimeoutMs = Number(request.headers[this.parts.protocol.timeoutHeader]);
     const leftMs = statedTimeoutMs > 0 ? statedTimeoutMs : DEFAULT_TIMEOUT_MS;
-    const input = { leftMs, workMs: 0, rank: 0, callIntervalMs: 0 };
+    const input = { leftMs, workMs: 0, rank: 0, callIntervalMs: 0, quietForMs: 0 };
     return { kind: 'notRun', reason, retryAfterMs: retryAfter(reason, input, this.parts.random) };
   }
 
--- a/test/balancer/targetWishes.test.ts
+++ b/test/balancer/targetWishes.test.ts
@@ -48,6 +48,13 @@
     expect(server.received.length).toBeGreaterThan(0);
   }
 
+  function answerQuiet(seconds: number): void {
+    first.onCall = ({ socket, id }) => {
+      const text = withHeader(answerText(id, '', 503), `Retry-After: ${seconds}`);
+      socket.write(withHeader(text, 'Not-Executed: 1'));
+    };
+  }
+
   async function removeSecond(): Promise<void> {
     platform.store.remove('servers/i-second');
     await platform.until(
@@ -119,4 +126,37 @@
     await platform.sleep(300);
     expect(await call()).toBe(200);
   });
+
+  // Guards against callers that come back while no target wants their calls, or that wait for nothing.
+  it('tells callers at once when its quiet time ends', async () => {
+    await removeSecond();
+    answerQuiet(2);
+    expect(await call()).toBe(503);
+    const askedAt = performance.now();
+    const reply = await platform.call('POST', '/book/x', { body: 'seat', timeLeft: 9000 });
+    const endsInMs = askedAt + 2000 - performance.now();
+    expect([reply.status, reply.elapsedMs < 100]).toEqual([503, true]);
+    expect(Number(reply.headers['retry-after']) * 1000).toBeGreaterThanOrEqual(endsInMs);
+  });
+
+  // Guards against a burst at the end of a quiet time that makes the target turn calls away again.
+  it('gets few calls until it has answered some after its quiet time', async () => {
+    await removeSecond();
+    answerQuiet(0.3);
+    expect(await call()).toBe(503);
+    let running = 0;
+    const runningAtAnswer: number[] = [];
+    first.onCall = ({ socket, id }) => {
+      running += 1;
+      setTimeout(() => {
+        runningAtAnswer.push(running);
+        running -= 1;
+        socket.write(answerText(id, 'x'));
+      }, 50);
+    };
+    await platform.sleep(350);
+    for (let round = 0; round < 4; round += 1) await callMany();
+    expect(runningAtAnswer[0]).toBe(1);
+    expect(Math.max(...runningAtAnswer)).toBeGreaterThan(2);
+  });
 });
