Do not report claims of keys that were never granted as running calls

A host records a claim before it asks the home of the key. While the homes change, hosts report their claims to the new homes: a claim that still waited to be granted was reported as a call that runs, and its new home then turned away the claim itself. Only granted claims are reported now. One that its old home granted in the meantime is reported by that home, or awaited while it is silent.

--- a/src/idempotency/claimClient.ts
+++ b/src/idempotency/claimClient.ts
@@ -32,7 +32,7 @@
       const isSameRequest = known.fingerprint === request.fingerprint;
       return { kind: isSameRequest ? 'in-flight' : 'mismatch' };
     }
-    const localResult = this.ownTable.claim(request, true);
+    const localResult = this.ownTable.claim(request, true, false);
     return localResult.kind === 'granted' ? this.claimAtHome(request) : localResult;
   }
 
@@ -52,7 +52,10 @@
     let hasLostReply = false;
     for (let attempt = 0; attempt < MAX_CLAIM_ATTEMPTS; attempt += 1) {
       const result = await this.requestClaim(request);
-      if (result?.kind === 'granted') return result;
+      if (result?.kind === 'granted') {
+        this.ownTable.confirm(request.service, request.key);
+        return result;
+      }
       if (result !== null && result.kind !== 'not-home') {
         this.ownTable.settle(request.service, request.key, null);
         return result;
--- a/src/idempotency/claimMessages.ts
+++ b/src/idempotency/claimMessages.ts
@@ -76,6 +76,7 @@
     fingerprint: reported.fingerprint,
     claimant: '',
     state: reported.ended ? 'ended' : 'running',
+    isGranted: true,
     answer: reported.ended ? (reported.answer ?? UNKNOWN_ANSWER) : null,
     runsUntil: reported.ended ? now : endsAt,
     expiresAt: reported.ended ? endsAt : now + KEY_LIFETIME_MS,
--- a/src/idempotency/claimReporter.ts
+++ b/src/idempotency/claimReporter.ts
@@ -46,9 +46,14 @@
   }
 
   private claimsFor(member: string, members: readonly string[]): readonly KeyClaim[] {
-    return this.tables
-      .flatMap((table) => table.unexpiredClaims())
-      .filter((claim) => rendezvousChoice(keyName(claim.service, claim.key), members) === member);
+    return (
+      this.tables
+        .flatMap((table) => table.unexpiredClaims())
+        // A claim that awaits its home runs no call. Reported as running, it would keep its new home from
+        // granting it. If its old home has granted it meanwhile, that one reports it.
+        .filter((claim) => claim.isGranted)
+        .filter((claim) => rendezvousChoice(keyName(claim.service, claim.key), members) === member)
+    );
   }
 
   private async sendAll(
--- a/src/idempotency/keyTable.ts
+++ b/src/idempotency/keyTable.ts
@@ -60,8 +60,11 @@
     return this.store({ ...claim, state: 'ended', answer: UNKNOWN_ANSWER });
   }
 
-  /** Claims a key; `mayGrant` is false while unknown keys may have been granted elsewhere. */
-  claim(request: ClaimRequest, mayGrant: boolean): ClaimResult {
+  /**
+   * Claims a key; `mayGrant` is false while unknown keys may have been granted elsewhere, `isGranted`
+   * is false while the home of the key is still to be asked.
+   */
+  claim(request: ClaimRequest, mayGrant: boolean, isGranted = true): ClaimResult {
     const known = this.find(request.service, request.key);
     if (known !== null) return this.resultForKnown(known, request);
     if (!mayGrant) return { kind: 'not-home' };
@@ -73,6 +76,7 @@
       fingerprint: request.fingerprint,
       claimant: request.claimant,
       state: 'running',
+      isGranted,
       answer: null,
       runsUntil: request.deadline + DEADLINE_MARGIN_MS,
       expiresAt: this.clock.now() + KEY_LIFETIME_MS,
@@ -80,6 +84,12 @@
     return { kind: 'granted' };
   }
 
+  /** Records that the home of a key has granted its claim. */
+  confirm(service: string, key: string): void {
+    const known = this.claims.get(keyName(service, key));
+    if (known !== undefined) this.store({ ...known, isGranted: true });
+  }
+
   /** Records how the call of a key ended; a null `answer` (it did not run) releases the key. */
   settle(service: string, key: string, answer: RecordedAnswer | null): void {
     const name = keyName(service, key);
@@ -96,6 +106,7 @@
       fingerprint: known?.fingerprint ?? '',
       claimant: known?.claimant ?? '',
       state: 'ended',
+      isGranted: true,
       answer,
       runsUntil: now,
       expiresAt: known?.expiresAt ?? now + KEY_LIFETIME_MS,
--- a/test/idempotency/keyClaims.test.ts
+++ b/test/idempotency/keyClaims.test.ts
@@ -182,6 +182,19 @@
   expect(await claim('a', moved)).toBe('granted');
 });
 
+// Guards against a key that is refused everywhere since a claim that was never granted is reported as
+// a call that runs.
+test('a claim that awaits its home does not keep a new home from granting it', async () => {
+  const key = keyWithHome('c', ALL_HOSTS, 'b', ['a', 'b']);
+  network.down.add('c');
+  const awaiting = hosts.get('a')!.claims.client.claim(request('a', key));
+  await flushMicrotasks();
+  setMembers(2, ['a', 'b']);
+  await advanceTime(2000 + TIME_LIMIT_MS);
+  expect((await awaiting).kind).toBe('not-home');
+  expect(await claim('b', key)).toBe('granted');
+});
+
 // Guards against a home that missed epochs and treats its outdated claims as complete.
 test('a home that missed an epoch waits for the reports', async () => {
   const key = keyWithHome('c', ALL_HOSTS, 'b', ['a', 'b']);
--- a/test/idempotency/keyedCalls.test.ts
+++ b/test/idempotency/keyedCalls.test.ts
@@ -7,6 +7,16 @@
 let fleet: LocalFleet;
 let target: RawTarget;
 
+async function post(host: number, key: string, path = '/tip') {
+  const answer = await request(`${fleet.urls[host]}/dockets${path}`, {
+    method: 'POST',
+    headers: { 'idempotency-key': key },
+    body: 'x',
+  });
+  const text = await answer.body.text();
+  return { status: answer.statusCode, type: answer.headers['content-type'], text };
+}
+
 beforeAll(async () => {
   target = new RawTarget((incoming, response) => {
     const { length } = target.requests;
@@ -23,6 +33,9 @@
     transport: (hostId) => network.transport(hostId),
     services: [{ name: 'dockets', targets: [{ id: 't-1', zone: 'zone-1', port }] }],
   });
+  // A home that awaits the reports of the others is asked again after 100 ms; by then the first of
+  // concurrent calls may have ended, and the others get its answer. These keys have all three homes.
+  await Promise.all(Array.from({ length: 12 }, (_none, index) => post(0, `first-${index}`)));
 });
 
 afterAll(async () => {
@@ -30,16 +43,6 @@
   await fleet.stop();
 });
 
-async function post(host: number, key: string, path = '/tip') {
-  const answer = await request(`${fleet.urls[host]}/dockets${path}`, {
-    method: 'POST',
-    headers: { 'idempotency-key': key },
-    body: 'x',
-  });
-  const text = await answer.body.text();
-  return { status: answer.statusCode, type: answer.headers['content-type'], text };
-}
-
 // Guards against a call that takes effect twice (a docket billed twice) because it was retried.
 test('a retry through any host gets the first answer and is not run', async () => {
   const before = target.requests.length;
