Tell other hosts of targets that say that they leave

Only the host that got Server-Leaving in an answer stopped its calls to that target. Health checks of a target are made by one host of a zone, and a store that is away, or behind, lists it as ready: the other hosts sent it calls until it had told each of them. The start of the target that leaves is now told to all hosts and repeated like crashes, as a notice that no older message undoes; a notice about another start of the target is passed over, and so is a late answer of one.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -20,6 +20,7 @@
 import {
   InFlightBroadcaster,
   LastSlotSlowdowns,
+  type LeavingTarget,
   InFlightTable,
   identityKey,
   TargetStatisticsTable,
@@ -141,10 +142,13 @@
     });
     this.reader = this.makeReader();
     const onOpened = () => metrics.increment(BALANCER_METRICS.connections);
+    const onLeaving = (target: LeavingTarget) =>
+      this.exchange.broadcastNotices({ leaving: [target] });
     this.probes = new ProbeTable(
       {
         ...{ clock, protocol, catalog, targetStates: this.targetStates, onOpened },
         onReport: (report) => this.applyAndBroadcast(report),
+        onLeaving,
         onProbe: () => metrics.increment(BALANCER_METRICS.probes),
       },
       {
@@ -176,7 +180,7 @@
       this.crashTable,
       events,
       {
-        broadcastCrashes: (history) => this.exchange.broadcastCrashes(history),
+        broadcastCrashes: (history) => this.exchange.broadcastNotices({ crashes: [history] }),
       },
       (target, at) => (this.targetStates.get(target)?.lostAt ?? Infinity) > at,
     );
@@ -200,6 +204,7 @@
       hostCount: () => Math.max(MIN_ASSUMED_HOSTS, this.exchange.membership.maxLiveHostCount()),
       onReport: (report) => this.applyAndBroadcast(report),
       onUnexpectedClose: (target) => this.probes.check(target),
+      onLeaving,
       counters: {
         attempt: (service) => metrics.increment(BALANCER_METRICS.attempts, 1, { service }),
         retry: (service) => metrics.increment(BALANCER_METRICS.retries, 1, { service }),
@@ -393,9 +398,13 @@
         for (const count of others) this.inFlightCounts.apply(count);
         if (shouldRebroadcast) this.inFlightBroadcaster.rebroadcast(others);
       },
-      crashHistories: () => this.crashTable.histories(),
-      onCrashes: (histories) => {
-        for (const history of histories) this.crashTable.apply(history);
+      notices: () => ({
+        crashes: this.crashTable.histories(),
+        leaving: this.targetStates.leavingTargets(),
+      }),
+      onNotices: ({ crashes, leaving }) => {
+        for (const history of crashes) this.crashTable.apply(history);
+        for (const target of leaving) this.targetStates.recordLeaving(target);
       },
     });
   }
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -1,5 +1,6 @@
 import { type Catalog, type Target } from '../catalog';
 import {
+  type LeavingTarget,
   type TargetStatisticsTable,
   type TargetReport,
   type ObservationKind,
@@ -68,6 +69,8 @@
   /** Receives the observations that this host makes of targets. */
   readonly onReport: (report: TargetReport) => void;
   readonly onUnexpectedClose: (target: string) => void;
+  /** Called when an answer is the first to say that a target is leaving. */
+  readonly onLeaving: (target: LeavingTarget) => void;
   readonly counters: DeliveryCounters;
   /** Transmits a call to a target; by default over the connections of this host. */
   readonly transmit?: Transmit;
@@ -215,14 +218,15 @@
     this.report(attempt.target, observation, { load, coldLeft, callLimit });
   }
 
-  private recordWishes({ id }: Target, { status, metadata }: AnswerHead): void {
-    const wasLeaving = this.targetStates.isLeaving(id);
+  private recordWishes(target: Target, { status, metadata }: AnswerHead): void {
+    const { id } = target;
     const wasQuiet = this.targetStates.isQuiet(id);
-    if (metadata.isLeaving) this.targetStates.recordLeaving(id);
+    const isNowLeaving = metadata.isLeaving && this.targetStates.recordLeaving(target);
+    if (isNowLeaving) this.parts.onLeaving(target);
     if (status === 503 && metadata.quietMs !== null)
       this.targetStates.recordQuiet(id, metadata.quietMs);
     const { isLeaving, quietMs } = metadata;
-    const isNews = isLeaving ? !wasLeaving : !wasQuiet && this.targetStates.isQuiet(id);
+    const isNews = isLeaving ? isNowLeaving : !wasQuiet && this.targetStates.isQuiet(id);
     if (isNews) this.events.emit(DELIVERY_EVENTS.targetQuiet, { target: id, isLeaving, quietMs });
   }
 
--- a/src/delivery/probeTask.ts
+++ b/src/delivery/probeTask.ts
@@ -1,5 +1,5 @@
 import { type Catalog, type Target } from '../catalog';
-import { type TargetStatisticsTable, type TargetReport } from '../knowledge';
+import { type LeavingTarget, type TargetStatisticsTable, type TargetReport } from '../knowledge';
 import { type Clock, waitUntil } from '../runtime';
 
 import { type CallProtocol } from './callProtocol';
@@ -27,6 +27,8 @@
   readonly catalog: () => Catalog;
   readonly targetStates: TargetStatisticsTable;
   readonly onReport: (report: TargetReport) => void;
+  /** Called when a health check is the first to say that a target is leaving. */
+  readonly onLeaving: (target: LeavingTarget) => void;
   readonly onProbe: () => void;
   readonly onOpened: () => void;
 }
@@ -43,7 +45,9 @@
     private readonly target: Target,
     private readonly parts: ProbeParts,
   ) {
-    const onLeaving = () => parts.targetStates.recordLeaving(target.id);
+    const onLeaving = () => {
+      if (parts.targetStates.recordLeaving(target)) parts.onLeaving(target);
+    };
     this.probe = new TargetProbe(target, parts.protocol, parts.clock, parts.onOpened, onLeaving);
   }
 
--- a/src/exchange/datagramCodec.ts
+++ b/src/exchange/datagramCodec.ts
@@ -1,6 +1,6 @@
 import { type Message } from './message';
 import { decodePacked, encodePacked, PACKED_CODECS, type PackedMessage } from './packedCodec';
-import { changesFieldsSchema, crashesFieldsSchema, heartbeatSchema } from './textSchemas';
+import { changesFieldsSchema, noticesFieldsSchema, heartbeatSchema } from './textSchemas';
 
 /** Protocol version; datagrams of any other version are dropped. */
 export const EXCHANGE_VERSION = 3;
@@ -83,21 +83,23 @@
       return { kind: 'changes', shouldRebroadcast: shouldRebroadcast === 1, text };
     },
   },
-  crashes: {
-    encode: ({ shouldRebroadcast, histories }) => [
+  notices: {
+    encode: ({ shouldRebroadcast, crashes, leaving }) => [
       shouldRebroadcast ? 1 : 0,
-      histories.map(({ fingerprint, crashes, cleared, leftMs }) => [
-        ...[fingerprint, crashes, cleared, leftMs],
+      crashes.map((history) => [
+        ...[history.fingerprint, history.crashes, history.cleared, history.leftMs],
       ]),
+      leaving.map(({ id, startedAt }) => [id, startedAt]),
     ],
     decode: (fields) => {
-      const [shouldRebroadcast, histories] = crashesFieldsSchema.parse(fields);
+      const [shouldRebroadcast, histories, leaving] = noticesFieldsSchema.parse(fields);
       return {
-        kind: 'crashes',
+        kind: 'notices',
         shouldRebroadcast: shouldRebroadcast === 1,
-        histories: histories.map(([fingerprint, crashes, cleared, leftMs]) => ({
+        crashes: histories.map(([fingerprint, crashes, cleared, leftMs]) => ({
           ...{ fingerprint, crashes, cleared, leftMs },
         })),
+        leaving: leaving.map(([id, startedAt]) => ({ id, startedAt })),
       };
     },
   },
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -1,14 +1,8 @@
 import { type CatalogChanges, decodeChanges, encodeChanges } from '../catalog';
-import {
-  type CrashHistory,
-  type InFlightCounts,
-  isLargeZone,
-  type TargetReport,
-} from '../knowledge';
+import { type InFlightCounts, isLargeZone, type TargetReport } from '../knowledge';
 import { sample } from '../runtime';
 
 import { CatalogPuller } from './catalogPuller';
-import { CrashGossip } from './crashGossip';
 import { MAX_DATAGRAM_BYTES, decodeMessage, encodeMessage } from './datagramCodec';
 import { type DatagramLink } from './datagramLink';
 import { EXCHANGE_EVENTS } from './events';
@@ -16,6 +10,8 @@
 import { Membership } from './membership';
 import { type HostView, MembershipGossip } from './membershipGossip';
 import { type InFlightCountsMessage, type Message, type ReportsMessage } from './message';
+import { NoticeGossip } from './noticeGossip';
+import { type Notices } from './notices';
 import { OtherZones } from './otherZones';
 
 // A change that does not fit into a datagram is told to this many hosts of each other zone, since the
@@ -39,9 +35,9 @@
     counts: readonly InFlightCounts[],
     shouldRebroadcast: boolean,
   ) => void;
-  /** What this host knows of crashes during calls. */
-  readonly crashHistories: () => readonly CrashHistory[];
-  readonly onCrashes: (histories: readonly CrashHistory[]) => void;
+  /** The notices that this host knows. */
+  readonly notices: () => Notices;
+  readonly onNotices: (notices: Notices) => void;
 }
 
 type MessageHandlers = {
@@ -79,13 +75,13 @@
 
   private readonly puller: CatalogPuller;
 
-  private readonly crashGossip: CrashGossip;
+  private readonly noticeGossip: NoticeGossip;
 
   // A lookup table, as some hundred datagrams arrive each second.
   private readonly handlers: MessageHandlers = {
     heartbeat: (heartbeat, fromIp) => {
       this.gossip.receiveHeartbeat(heartbeat, fromIp);
-      if (heartbeat.shouldReplyWithMembers) this.crashGossip.sendAll(heartbeat.host[2]);
+      if (heartbeat.shouldReplyWithMembers) this.noticeGossip.sendAll(heartbeat.host[2]);
       this.puller.check();
     },
     digest: (digest, fromIp) => {
@@ -104,8 +100,8 @@
       this.parts.ledger.apply(changes);
       if (message.shouldRebroadcast) this.rebroadcast({ ...message, shouldRebroadcast: false });
     },
-    crashes: (message) => {
-      this.parts.onCrashes(message.histories);
+    notices: (message) => {
+      this.parts.onNotices(message);
       if (message.shouldRebroadcast) this.rebroadcast({ ...message, shouldRebroadcast: false });
     },
   };
@@ -117,9 +113,9 @@
     this.otherZones = new OtherZones({ clock, random, self, zones, membership });
     const send = (ips: readonly string[], message: Message) => this.send(ips, message);
     this.gossip = new MembershipGossip({ ...parts, otherZones: this.otherZones, send }, membership);
-    this.crashGossip = new CrashGossip({
+    this.noticeGossip = new NoticeGossip({
       ...{ clock, random, membership, send },
-      histories: parts.crashHistories,
+      notices: parts.notices,
     });
     this.puller = new CatalogPuller({
       ...{ clock, random, events, ledger, pull, zone: self.zone, membership },
@@ -134,13 +130,13 @@
   start(): void {
     this.parts.link.onDatagram((bytes, fromIp) => this.receive(bytes, fromIp));
     this.gossip.start();
-    this.crashGossip.start();
+    this.noticeGossip.start();
   }
 
   /** Stops the heartbeats; the caller closes the link. */
   close(): void {
     this.puller.close();
-    this.crashGossip.close();
+    this.noticeGossip.close();
     this.gossip.close();
   }
 
@@ -215,11 +211,11 @@
     else this.sendTo(this.membership.neighbours(), message);
   }
 
-  /** Sends a changed history of crashes to all hosts. */
-  broadcastCrashes(history: CrashHistory): void {
-    const message: Message = { kind: 'crashes', histories: [history] };
+  /** Sends new notices to all hosts. */
+  broadcastNotices(notices: Partial<Notices>): void {
+    const message: Message = { kind: 'notices', crashes: [], leaving: [], ...notices };
     this.sendTo(this.membership.neighbours(), message);
-    this.sendTo(this.otherZones.choose('crashes'), { ...message, shouldRebroadcast: true });
+    this.sendTo(this.otherZones.choose('notices'), { ...message, shouldRebroadcast: true });
   }
 
   private receive(bytes: Buffer, fromIp: string): void {
--- a/src/exchange/message.ts
+++ b/src/exchange/message.ts
@@ -1,5 +1,7 @@
 import { type SourceState } from '../source';
-import { type CrashHistory, type InFlightCounts, type TargetReport } from '../knowledge';
+import { type InFlightCounts, type TargetReport } from '../knowledge';
+
+import { type Notices } from './notices';
 
 /** State of the sending host; with `members`, also the hosts that it knows. */
 export interface Heartbeat {
@@ -66,13 +68,12 @@
   readonly shouldRebroadcast?: boolean;
 }
 
-/** Calls during which targets crashed. */
-export interface CrashesMessage {
-  readonly kind: 'crashes';
-  readonly histories: readonly CrashHistory[];
+/** Notices that the sender knows. */
+export interface NoticesMessage extends Notices {
+  readonly kind: 'notices';
   readonly shouldRebroadcast?: boolean;
 }
 
 /** Any message between hosts. */
 export type Message =
-  Heartbeat | Digest | ReportsMessage | InFlightCountsMessage | ChangesMessage | CrashesMessage;
+  Heartbeat | Digest | ReportsMessage | InFlightCountsMessage | ChangesMessage | NoticesMessage;
--- a/src/exchange/otherZones.ts
+++ b/src/exchange/otherZones.ts
@@ -7,7 +7,7 @@
 const TURN_MS = 1000;
 
 /** What a message to another zone is about. */
-export type Purpose = 'members' | 'flights' | 'changes' | 'reports' | 'crashes';
+export type Purpose = 'members' | 'flights' | 'changes' | 'reports' | 'notices';
 
 /** Dependencies of `OtherZones`. */
 export interface OtherZonesParts {
--- a/src/exchange/textSchemas.ts
+++ b/src/exchange/textSchemas.ts
@@ -28,8 +28,9 @@
 
 const crashIds = z.array(z.string().max(MAX_ID_LENGTH)).max(MAX_CRASH_IDS);
 
-/** Fields of the histories of crashes by position. */
-export const crashesFieldsSchema = z.tuple([
+/** Fields of notices by position. */
+export const noticesFieldsSchema = z.tuple([
   flag,
   z.array(z.tuple([z.string().max(MAX_ID_LENGTH), crashIds, crashIds, count])),
+  z.array(z.tuple([z.string().max(MAX_ID_LENGTH), z.number().nullable()])),
 ]);
--- a/src/knowledge/index.ts
+++ b/src/knowledge/index.ts
@@ -9,5 +9,6 @@
 export { InFlightBroadcaster, type InFlightSink } from './inFlightBroadcaster';
 export { ReportBroadcaster, type ReportSink } from './reportBroadcaster';
 export { TargetSubsets, type ZoneView } from './targetSubsets';
+export { type LeavingTarget } from './leavingTarget';
 export { LastSlotSlowdowns } from './lastSlotSlowdowns';
 export { WorkEstimates } from './workEstimates';
--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -3,6 +3,7 @@
 
 import { type InFlightListener } from './inFlightListener';
 import { type InFlightTable } from './inFlightTable';
+import { type LeavingTarget } from './leavingTarget';
 import { identityKey } from './identityKey';
 import { type TargetStatistics } from './targetStatistics';
 import { type TargetReport } from './targetReport';
@@ -96,10 +97,22 @@
     this.applyObservation(target, report, observedAt);
   }
 
-  /** Records that a target has stated that it is leaving; holds until it starts again. */
-  recordLeaving(id: string): void {
+  /**
+   * Records that a target has stated that it is leaving, which holds until it starts again; returns
+   * whether this was not known.
+   */
+  recordLeaving({ id, startedAt }: LeavingTarget): boolean {
     const target = this.statistics.get(id);
-    if (target !== undefined) target.quietUntil = Infinity;
+    // A late message may be about the start before.
+    if (target === undefined || target.startedAt !== startedAt) return false;
+    const isNews = target.quietUntil !== Infinity;
+    target.quietUntil = Infinity;
+    return isNews;
+  }
+
+  /** The targets that have stated that they are leaving. */
+  leavingTargets(): readonly LeavingTarget[] {
+    return [...this.statistics.values()].filter(({ quietUntil }) => quietUntil === Infinity);
   }
 
   /** Records that a target wants no calls from this host for some time. */
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -114,6 +114,7 @@
       hostCount: () => environment.hostCount,
       onReport: (report) => this.observe(report),
       onUnexpectedClose: () => {},
+      onLeaving: () => {},
       counters: {
         attempt: () => {},
         retry: () => {},
--- a/test/balancer/malformedBytes.test.ts
+++ b/test/balancer/malformedBytes.test.ts
@@ -32,8 +32,9 @@
     text: JSON.stringify({ after: 0, asOf: 1, records: [{ key: 'k', revision: 1, fact: null }] }),
   },
   {
-    kind: 'crashes',
-    histories: [{ fingerprint: 'f', crashes: ['i-1 7'], cleared: [], leftMs: 300 }],
+    kind: 'notices',
+    leaving: [{ id: 'i-read', startedAt: 7 }],
+    crashes: [{ fingerprint: 'f', crashes: ['i-1 7'], cleared: [], leftMs: 300 }],
   },
   { kind: 'flights', counts: [{ host: 5, sequence: 1, calls: new Map([[7, 2]]) }] },
   {
--- a/test/exchange/crashHistories.test.ts
+++ b/test/exchange/crashHistories.test.ts
@@ -19,7 +19,7 @@
   for (let crash = 0; crash < CRASHES_TO_REFUSE; crash += 1) {
     const hosts = fleet.network.liveHosts();
     const { crashTable, exchange } = hosts[fleet.random.integer(hosts.length)]!;
-    exchange.broadcastCrashes(crashTable.record(CALL, `i-${crash} 1`));
+    exchange.broadcastNotices({ crashes: [crashTable.record(CALL, `i-${crash} 1`)] });
   }
 }
 
@@ -69,7 +69,7 @@
       const missing = unaware(fleet, CRASHES_TO_REFUSE);
       fleet.network.isCut = (from, to) => isCutOff(from.id) || isCutOff(to.id);
       const { crashTable, exchange } = fleet.network.hosts.get('host-1')!;
-      exchange.broadcastCrashes(crashTable.clear(CALL));
+      exchange.broadcastNotices({ crashes: [crashTable.clear(CALL)] });
       await fleet.network.advance(500);
       fleet.network.isCut = () => false;
       await fleet.network.advance(2 * STABILITY_MS);
--- a/test/exchange/datagramCodec.test.ts
+++ b/test/exchange/datagramCodec.test.ts
@@ -48,9 +48,13 @@
     shouldReplyWithMembers: false,
   },
   {
-    kind: 'crashes',
+    kind: 'notices',
     shouldRebroadcast: true,
-    histories: [{ fingerprint: 'f', crashes: ['i-1 7', 'i-2 9'], cleared: ['i-1 7'], leftMs: 300 }],
+    crashes: [{ fingerprint: 'f', crashes: ['i-1 7', 'i-2 9'], cleared: ['i-1 7'], leftMs: 300 }],
+    leaving: [
+      { id: 'i-1', startedAt: 7 },
+      { id: 'i-2', startedAt: null },
+    ],
   },
 ];
 
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -108,9 +108,9 @@
         for (const count of counts) inFlightTable.apply(count);
         if (shouldRebroadcast) inFlightBroadcaster.rebroadcast(counts);
       },
-      crashHistories: () => crashTable.histories(),
-      onCrashes: (histories) => {
-        for (const history of histories) crashTable.apply(history);
+      notices: () => ({ crashes: crashTable.histories(), leaving: [] }),
+      onNotices: ({ crashes }) => {
+        for (const history of crashes) crashTable.apply(history);
       },
     });
     const host: SimulatedHost = {
