Do not send two calls with one id over one connection

A caller that is refused and comes again with the same id was told 503 "not run" while a server ran its call, and with two servers both ran it (REFUSED, TWICE): a faulty server wrote the earlier refusal once more, and the copy has the id of the call that runs now.

An answer was attributed to a call by its id alone. That is a claim about callers, who may keep their ids, and not about the connection. A connection now remembers digests of the ids that it has carried and never carries one twice; such a call takes another idle connection or opens one. A copy of an earlier answer of a connection can then never have the id of the call that runs on it.

--- a/src/delivery/attempt.ts
+++ b/src/delivery/attempt.ts
@@ -55,7 +55,7 @@
     private readonly clock: Clock,
     private readonly observer: AttemptObserver,
   ) {
-    this.connection = connections.acquire();
+    this.connection = connections.acquire(call.id);
   }
 
   /** Sends the request. */
--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -5,6 +5,7 @@
 
 import { type Clock } from '../runtime';
 
+import { CarriedCalls } from './carriedCalls';
 import { type ConnectionError, type ConnectionErrorKind } from './connectionError';
 import { type ExchangeListener } from './exchangeListener';
 import { type OutgoingRequest } from './outgoingRequest';
@@ -31,6 +32,8 @@
   /** Monotonic time at which the last request ended, initially the time of creation. */
   lastUsedAt: number;
 
+  readonly carriedCalls = new CarriedCalls();
+
   private readonly client: Client;
 
   private socket: Socket | null = null;
--- a/src/delivery/targetConnections.ts
+++ b/src/delivery/targetConnections.ts
@@ -30,16 +30,31 @@
     return this.idleConnections.length > 0;
   }
 
-  /** Returns the most recently used idle connection, or a new one. */
-  acquire(): TargetConnection {
-    for (
-      let last = this.idleConnections.pop();
-      last !== undefined;
-      last = this.idleConnections.pop()
-    ) {
-      if (last.isOpen()) return last;
-      this.openCount -= 1;
+  /**
+   * Returns a connection that has not carried a call with this id: the most recently used idle one,
+   * or a new one.
+   */
+  acquire(callId: string): TargetConnection {
+    const connection = this.takeIdle(callId) ?? this.open();
+    connection.carriedCalls.add(callId);
+    return connection;
+  }
+
+  private takeIdle(callId: string): TargetConnection | null {
+    for (let index = this.idleConnections.length - 1; index >= 0; index -= 1) {
+      const connection = this.idleConnections[index]!;
+      if (!connection.isOpen()) {
+        this.idleConnections.splice(index, 1);
+        this.openCount -= 1;
+      } else if (connection.carriedCalls.mayCarry(callId)) {
+        this.idleConnections.splice(index, 1);
+        return connection;
+      }
     }
+    return null;
+  }
+
+  private open(): TargetConnection {
     this.openCount += 1;
     this.onOpened();
     return new TargetConnection(this.address, this.clock, (connection, origin) => {
@@ -55,7 +70,7 @@
 
   /** Returns a connection to the pool after its request, or closes it. */
   release(connection: TargetConnection, canReuse: boolean): void {
-    if (connection.isOpen() && canReuse) {
+    if (connection.isOpen() && canReuse && !connection.carriedCalls.isFull()) {
       this.idleConnections.push(connection);
       return;
     }
--- a/test/support/scriptedServer.ts
+++ b/test/support/scriptedServer.ts
@@ -42,6 +42,9 @@
     );
   };
 
+  /** `IP:port`, once it listens. */
+  address = '';
+
   private readonly sockets = new Set<Socket>();
 
   private readonly server: Server;
@@ -54,7 +57,8 @@
   listen(): Promise<string> {
     return new Promise((resolve) => {
       this.server.listen(0, '127.0.0.1', () => {
-        resolve(`127.0.0.1:${(this.server.address() as { port: number }).port}`);
+        this.address = `127.0.0.1:${(this.server.address() as { port: number }).port}`;
+        resolve(this.address);
       });
     });
   }
