End a long answer that broke off while it waited for its turn

A caller had sent a call behind a slow one and was never told how it ended: its connection stayed open without an answer, beyond the time limit of the call, and the host counted the call as running for ever.

Answers beyond 256 KiB are passed on while they are received. When the target's connection broke before the answer's turn came, nobody was told: the rest of the answer was then awaited from a connection that had ended, and its timer did not end it either, since the attempt counted as over. The rest now reports its end if it came earlier.

--- a/src/delivery/attempt.ts
+++ b/src/delivery/attempt.ts
@@ -158,6 +158,11 @@
       cancel: () => this.abort(),
       pipeTo: (output) =>
         new Promise((resolve) => {
+          // The connection may have broken while the answer waited for its turn.
+          if (!this.hasOpenRest) {
+            resolve(false);
+            return;
+          }
           const timer = this.clock.setTimer(this.restDeadline(), () => this.abort());
           this.resolveRest = (isWhole) => {
             timer.cancel();
--- a/test/support/rawCaller.ts
+++ b/test/support/rawCaller.ts
@@ -1,5 +1,11 @@
 import { connect, type Socket } from 'node:net';
 
+/** An answer that a raw caller received. */
+export interface RawAnswer {
+  readonly status: number;
+  readonly isWhole: boolean;
+}
+
 /** A caller that writes and reads the bytes of its connection itself. */
 export class RawCaller {
   text = '';
@@ -50,4 +56,23 @@
   answeredIds(): readonly string[] {
     return [...this.text.matchAll(/^request-id: (\S+)/gim)].map((match) => match[1]!);
   }
+
+  /** The answers received in their order; only the last one can be incomplete. */
+  answers(): readonly RawAnswer[] {
+    const answers: RawAnswer[] = [];
+    let rest = this.text;
+    while (rest !== '') {
+      const headEnd = rest.indexOf('\r\n\r\n');
+      const status = Number(/^HTTP\/1\.1 (\d{3})/.exec(rest)?.[1]);
+      if (headEnd < 0) return [...answers, { status, isWhole: false }];
+      const head = rest.slice(0, headEnd);
+      rest = rest.slice(headEnd + 4);
+      const length = /^content-length: (\d+)$/im.exec(head)?.[1];
+      const end = length === undefined ? rest.indexOf('0\r\n\r\n') + 5 : Number(length);
+      const isWhole = end >= (length === undefined ? 5 : 0) && rest.length >= end;
+      answers.push({ status, isWhole });
+      rest = isWhole ? rest.slice(end) : '';
+    }
+    return answers;
+  }
 }
