Do not call a target lost while its answer waits to be read

The limit of a connection didn't tell a late timer from a silent target at all; that of a health check also counted the time before the request was written.

Timers now let the pending input be read before they judge, the silence of a health check counts from the moment its request was sent, and a late timer of a connection is set again.

--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -3,7 +3,7 @@
 import { type buildConnector, type Dispatcher } from 'undici';
 import Client from 'undici/lib/dispatcher/client';
 
-import { type Clock } from '../runtime';
+import { afterPendingInput, type Clock, type Timer } from '../runtime';
 
 import { type ConnectionError, type ConnectionErrorKind } from './connectionError';
 import { type ExchangeListener } from './exchangeListener';
@@ -11,6 +11,9 @@
 
 // Connections open within a few milliseconds; a target that is down or partitioned never answers.
 const CONNECT_TIMEOUT_MS = 150;
+// A timer that fires more than this after its time shows that this process was held up, which says
+// nothing about the target.
+const MAX_TIMER_DELAY_MS = 60;
 // Idle timeout of a connection when the target does not announce one.
 const IDLE_TIMEOUT_MS = 4000;
 // Connections are closed this long before the target's own idle timeout, so that no request is sent
@@ -170,16 +173,14 @@
       port: Number(address.slice(separator + 1)),
       noDelay: true,
     });
-    const timer = this.clock.setTimer(this.clock.now() + CONNECT_TIMEOUT_MS, () => {
-      socket.destroy(new Error('connection not opened in time'));
-    });
+    const timeout = this.limitConnectTime(socket);
     const onError = (error: Error) => {
-      timer.cancel();
+      timeout.cancel();
       callback(error, null);
     };
     socket.once('error', onError);
     socket.once('connect', () => {
-      timer.cancel();
+      timeout.cancel();
       socket.off('error', onError);
       // Registered before undici's own listener, which reports the data so far as a complete answer.
       socket.on('error', () => {
@@ -196,4 +197,17 @@
       callback(null, socket);
     });
   }
+
+  private limitConnectTime(socket: Socket): Timer {
+    const dueAt = this.clock.now() + CONNECT_TIMEOUT_MS;
+    let timer = this.clock.setTimer(dueAt, () => {
+      const isLate = this.clock.now() > dueAt + MAX_TIMER_DELAY_MS;
+      afterPendingInput(() => {
+        if (!socket.connecting) return;
+        if (isLate) timer = this.limitConnectTime(socket);
+        else socket.destroy(new Error('connection not opened in time'));
+      });
+    });
+    return { cancel: () => timer.cancel() };
+  }
 }
--- a/src/delivery/targetProbe.ts
+++ b/src/delivery/targetProbe.ts
@@ -1,6 +1,6 @@
 import { type Service, type Target } from '../catalog';
 import { type TargetReport, type ObservationKind } from '../knowledge';
-import { type Clock } from '../runtime';
+import { afterPendingInput, type Clock, type Timer } from '../runtime';
 
 import { type CallProtocol } from './callProtocol';
 import { TargetConnection } from './targetConnection';
@@ -29,19 +29,33 @@
   send(service: Service): Promise<TargetReport | null> {
     const { clock, target } = this;
     const connection = this.acquireConnection();
-    const startedAt = clock.now();
     return new Promise((resolve) => {
       let report: TargetReport | null = null;
-      const timeoutAt = startedAt + PROBE_TIMEOUT_MS;
-      const timer = clock.setTimer(timeoutAt, () => {
-        const isLate = clock.now() > timeoutAt + MAX_TIMER_DELAY_MS;
-        resolve(isLate ? null : this.emptyReport('lost'));
-        connection.close();
-      });
+      let hasEnded = false;
+      let silentSince = clock.now();
+      let timer: Timer;
+      const limitSilence = () => {
+        const timeoutAt = silentSince + PROBE_TIMEOUT_MS;
+        timer = clock.setTimer(timeoutAt, () => {
+          const isLate = clock.now() > timeoutAt + MAX_TIMER_DELAY_MS;
+          afterPendingInput(() => {
+            if (hasEnded) return;
+            if (silentSince + PROBE_TIMEOUT_MS > timeoutAt) {
+              limitSilence();
+              return;
+            }
+            resolve(isLate ? null : this.emptyReport('lost'));
+            connection.close();
+          });
+        });
+      };
+      limitSilence();
       connection.send(
         { method: 'GET', path: service.probePath, headers: ['host', target.address], body: null },
         {
-          onSent: () => {},
+          onSent: () => {
+            silentSince = clock.now();
+          },
           onHead: (status, headers) => {
             const metadata = this.protocol.readAnswer(headers);
             // When another target answers at the address, the probed target is lost: it is no longer
@@ -64,10 +78,12 @@
           // The body is discarded; true keeps the answer flowing.
           onData: () => true,
           onEnd: () => {
+            hasEnded = true;
             timer.cancel();
             resolve(report);
           },
           onError: (error) => {
+            hasEnded = true;
             timer.cancel();
             resolve(error.kind === 'aborted' ? null : this.emptyReport('lost'));
           },
