Keep bodies in few blocks, so that tiny chunks do not exhaust the heap

Cause: bodies up to 256 KB are held for a retry, as the list of their chunks. A chunk of one byte takes more than a hundred bytes of heap, and keeps all bytes that were read together with it; the bound counted only the bytes.

test/balancer/memoryBounds (two tests, chunks of one byte in requests and in answers): before, the process ended in both; after, both pass.

--- a/src/delivery/attempt.ts
+++ b/src/delivery/attempt.ts
@@ -9,6 +9,7 @@
 import { type AnswerRest } from './answerRest';
 import { type AttemptObserver } from './attemptObserver';
 import { type AttemptResult } from './attemptResult';
+import { ByteCollector } from './byteCollector';
 import { type CallProtocol } from './callProtocol';
 import { type AnswerClassification, classifyAnswer } from './classifyAnswer';
 import { type ConnectionError } from './connectionError';
@@ -34,9 +35,7 @@
 
   private isFramed = true;
 
-  private chunks: Buffer[] = [];
-
-  private receivedBytes = 0;
+  private readonly body = new ByteCollector();
 
   private hasEnded = false;
 
@@ -80,10 +79,9 @@
 
   onData(chunk: Buffer): boolean {
     if (this.output !== null) return this.output.write(chunk);
-    this.chunks.push(chunk);
-    this.receivedBytes += chunk.length;
-    if (this.receivedBytes <= MAX_BUFFERED_ANSWER_BYTES || this.hasEnded)
-      return this.receivedBytes <= MAX_BUFFERED_ANSWER_BYTES;
+    this.body.append(chunk);
+    if (this.body.length() <= MAX_BUFFERED_ANSWER_BYTES || this.hasEnded)
+      return this.body.length() <= MAX_BUFFERED_ANSWER_BYTES;
     const { end } = this.classify();
     if (end === 'answered' && this.isFramed)
       this.finish({ end, answer: this.receivedAnswer(this.openRest()), error: null, message: '' });
@@ -112,7 +110,7 @@
 
   // An answer that is not passed on is not read to its end, which may never come.
   private discardLongAnswer(end: AttemptOutcome): void {
-    this.chunks = [];
+    this.body.take();
     this.finish({
       end: end === 'notRun' ? end : 'unknown',
       answer: null,
@@ -149,7 +147,7 @@
   }
 
   private receivedAnswer(rest: AnswerRest | null) {
-    return { head: this.head!, chunks: this.chunks, rest };
+    return { head: this.head!, chunks: this.body.take(), rest };
   }
 
   private openRest(): AnswerRest {
@@ -163,6 +161,7 @@
             timer.cancel();
             resolve(isWhole);
           };
+          for (const chunk of this.body.take()) output.write(chunk);
           this.output = output;
           output.on('drain', () => this.connection.resume());
           output.on('close', () => this.abort());
--- a/src/delivery/readCallBody.ts
+++ b/src/delivery/readCallBody.ts
@@ -1,6 +1,8 @@
 import { type IncomingMessage } from 'node:http';
 import { Readable } from 'node:stream';
 
+import { ByteCollector } from './byteCollector';
+
 // Bodies up to this size are buffered, so that a call can be retried at another target.
 const MAX_BUFFERED_BODY_BYTES = 256 * 1024;
 
@@ -29,19 +31,18 @@
   if (declaredLength === undefined && headers['transfer-encoding'] === undefined) return null;
   if (declaredLength !== undefined && Number(declaredLength) > limit) return 'tooLarge';
   const iterator = request[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = new ByteCollector();
   try {
     for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) {
-      chunks.push(next.value);
-      size += next.value.length;
+      body.append(next.value);
+      const size = body.length();
       if (size > limit) return 'tooLarge';
       if (size > MAX_BUFFERED_BODY_BYTES)
-        return Readable.from(concatenate(chunks, iterator, size, limit));
+        return Readable.from(concatenate(body.take(), iterator, size, limit));
     }
   } catch {
     // The request stream fails only when the caller closes the connection.
     return 'left';
   }
-  return Buffer.concat(chunks);
+  return Buffer.concat(body.take());
 }
--- /dev/null
+++ b/test/balancer/memoryBounds.test.ts
@@ -0,0 +1,105 @@
+import { BalancerProcess } from '../support/balancerProcess';
+import { RawCaller } from '../support/rawCaller';
+import { answerText, ScriptedServer, type ScriptedRequest } from '../support/scriptedServer';
+import { TestPlatform } from '../support/testPlatform';
+
+const ROUTE = { prefix: '/read/', service: 'reads', isIdempotent: true, timeLimitMs: 3000 };
+const GOOD_ROUTE = { prefix: '/good/', service: 'good', isIdempotent: true, timeLimitMs: 2000 };
+const MEBIBYTE = 1024 * 1024;
+const MEMORY_LIMIT_BYTES = 350 * MEBIBYTE;
+// The process is started as in deploy/system.toml.
+const NODE_ARGUMENTS = ['--max-old-space-size=160', '--max-semi-space-size=2'];
+const TINY_CHUNKS = '1\r\nx\r\n'.repeat(240_000);
+
+function head(method: string, id: string, ...lines: readonly string[]): string {
+  const common = [`${method} /read/x HTTP/1.1`, 'Host: test.example', `Request-Id: ${id}`];
+  return `${[...common, 'Deadline-Ms: 4000', ...lines].join('\r\n')}\r\n\r\n`;
+}
+
+describe('the memory of the process', () => {
+  let platform: TestPlatform;
+
+  let balancer: BalancerProcess;
+
+  let servers: ScriptedServer[];
+
+  let callers: RawCaller[];
+
+  let endOfProcess: Promise<unknown>;
+
+  beforeEach(async () => {
+    platform = new TestPlatform();
+    balancer = new BalancerProcess(platform);
+    servers = [];
+    callers = [];
+    platform.configure([ROUTE, GOOD_ROUTE]);
+    await platform.addServer('good', { id: 'i-good', workMs: 5 });
+  });
+
+  afterEach(async () => {
+    for (const caller of callers) caller.leave();
+    balancer.close();
+    for (const server of servers) server.close();
+    await platform.stop();
+  });
+
+  async function start(onCall: (request: ScriptedRequest) => void): Promise<void> {
+    for (let index = 0; index < 20; index += 1) {
+      const server = new ScriptedServer(`i-${index}`);
+      server.onCall = onCall;
+      servers.push(server);
+      platform.register('reads', { id: server.id, slots: 64 }, await server.listen());
+    }
+    await balancer.prepare();
+    balancer.writeSettings();
+    endOfProcess = balancer.launch(NODE_ARGUMENTS);
+    await balancer.untilReady();
+    await platform.sleep(300);
+  }
+
+  /** Watches the process for some seconds; resolves to its largest resident memory in bytes. */
+  async function watch(seconds: number): Promise<number> {
+    let hasEnded = false;
+    void endOfProcess.then(() => {
+      hasEnded = true;
+    });
+    let most = 0;
+    for (let check = 0; check < seconds * 20; check += 1) {
+      await platform.sleep(50);
+      if (hasEnded) throw new Error(`the process ended: ${balancer.output.slice(-2000)}`);
+      most = Math.max(most, balancer.residentBytes());
+    }
+    return most;
+  }
+
+  async function expectServing(): Promise<void> {
+    expect((await platform.call('GET', '/good/x')).status).toBe(200);
+  }
+
+  function connectCallers(count: number, bytesOf: (id: string) => string): void {
+    for (let index = 0; index < count; index += 1) {
+      const caller = new RawCaller(platform.callerPort);
+      callers.push(caller);
+      caller.write(bytesOf(`r-${index}`));
+    }
+  }
+
+  // Guards against an abort of the runtime: each chunk takes many times its own size.
+  it('is bounded when bodies of requests come in chunks of one byte', async () => {
+    await start(({ socket, id }) => socket.write(answerText(id, `answer to ${id}`)));
+    connectCallers(20, (id) => `${head('POST', id, 'Transfer-Encoding: chunked')}${TINY_CHUNKS}`);
+    expect(await watch(5)).toBeLessThan(MEMORY_LIMIT_BYTES);
+    await expectServing();
+  }, 60_000);
+
+  it('is bounded when bodies of answers come in chunks of one byte', async () => {
+    await start(({ socket, id }) => {
+      const lines = ['Upstream-Signature: s.1', 'Transfer-Encoding: chunked'];
+      socket.write(`HTTP/1.1 200 x\r\nRequest-Id: ${id}\r\n${lines.join('\r\n')}\r\n\r\n`);
+      socket.write(TINY_CHUNKS);
+    });
+    connectCallers(60, (id) => head('GET', id));
+    expect(await watch(5)).toBeLessThan(MEMORY_LIMIT_BYTES);
+    await expectServing();
+  }, 60_000);
+});
--- a/test/support/balancerProcess.ts
+++ b/test/support/balancerProcess.ts
@@ -46,9 +46,9 @@
     writeFileSync(join(this.folder, 'settings'), `${lines.join('\n')}\n`);
   }
 
-  /** Starts the process; resolves to its exit code when it ends. */
-  launch(): Promise<number | null> {
-    const child = spawn(process.execPath, [MAIN], {
+  /** Starts the process with these arguments of Node.js; resolves to its exit code when it ends. */
+  launch(nodeArguments: readonly string[] = []): Promise<number | null> {
+    const child = spawn(process.execPath, [...nodeArguments, MAIN], {
       env: { PATH: process.env.PATH, LIMPETKNOT_NODE_FILE: join(this.folder, 'settings') },
     });
     this.child = child;
