Give up floods of interim answers, headers and health bodies early

While servers sent interim answers (103) without end, calls to a sound target waited 12.3 s (median, 150 such calls and their health checks, x86-64, real processes); while they sent headers without end, 3.0 s. A host that is held up like this refuses what it could serve and answers its own readiness late.

Cause: 1xx answers had no bound, so the parser worked on them for as long as the call lasted. The parser does not stop at the first error of a head either: for each further header of the 64 KB it was given it made another error, about 9,000 with their stacks (67% of the processor time in a profile). The body of a health check had no bound but its time limit.

--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -8,12 +8,15 @@
 import { type ConnectionError, type ConnectionErrorKind } from './connectionError';
 import { type ExchangeListener } from './exchangeListener';
 import { type OutgoingRequest } from './outgoingRequest';
+import { readInPortions } from './readInPortions';
 
 // Connections open within a few milliseconds; a target that is down or partitioned never answers.
 const CONNECT_TIMEOUT_MS = 150;
 // A timer that fires more than this after its time shows that this process was held up, which says
 // nothing about the target.
 const MAX_TIMER_DELAY_MS = 60;
+// Interim answers (1xx) before the answer itself; servers of the platform send none.
+const MAX_INTERIM_ANSWERS = 10;
 // Idle timeout of a connection when the target does not announce one.
 const IDLE_TIMEOUT_MS = 4000;
 // Connections are closed this long before the target's own idle timeout, so that no request is sent
@@ -94,6 +97,7 @@
     const { method, path, headers, body } = request;
     let isStarted = false;
     let isFramed = true;
+    let interimAnswers = 0;
     const fail = (kind: ConnectionErrorKind, message: string) =>
       this.failRequest({ kind: isStarted ? kind : 'notSent', message });
     try {
@@ -106,7 +110,13 @@
             listener.onSent();
           },
           onResponseStart: (controller, status, answerHeaders) => {
-            if (status < 200) return;
+            if (status < 200) {
+              interimAnswers += 1;
+              const isTooMany = interimAnswers > MAX_INTERIM_ANSWERS;
+              if (isTooMany && this.activeListener === listener)
+                fail('garbled', 'too many interim answers');
+              return;
+            }
             isFramed =
               answerHeaders['content-length'] !== undefined ||
               answerHeaders['transfer-encoding'] !== undefined ||
@@ -182,6 +192,7 @@
     socket.once('connect', () => {
       timeout.cancel();
       socket.off('error', onError);
+      readInPortions(socket);
       // Registered before undici's own listener, which reports the data so far as a complete answer.
       socket.on('error', () => {
         this.hasSocketError = true;
--- a/src/delivery/targetProbe.ts
+++ b/src/delivery/targetProbe.ts
@@ -12,6 +12,9 @@
 // have arrived in the meantime, so the probe gives no information about the target.
 const MAX_TIMER_DELAY_MS = 60;
 
+// The answer to a health check has hardly a body; a longer one may be without end.
+const MAX_BODY_BYTES = 16 * 1024;
+
 /** Sends health checks to the probe path of one target over a dedicated connection. */
 export class TargetProbe {
   private connection: TargetConnection | null = null;
@@ -32,6 +35,7 @@
     return new Promise((resolve) => {
       let report: TargetReport | null = null;
       let hasEnded = false;
+      let bodyBytes = 0;
       let silentSince = clock.now();
       let timer: Timer;
       const limitSilence = () => {
@@ -76,7 +80,15 @@
             };
           },
           // The body is discarded; true keeps the answer flowing.
-          onData: () => true,
+          onData: (chunk) => {
+            bodyBytes += chunk.length;
+            if (bodyBytes <= MAX_BODY_BYTES || hasEnded) return true;
+            hasEnded = true;
+            timer.cancel();
+            resolve(this.emptyReport('lost'));
+            connection.close();
+            return false;
+          },
           onEnd: () => {
             hasEnded = true;
             timer.cancel();
--- a/test/balancer/endlessAnswers.test.ts
+++ b/test/balancer/endlessAnswers.test.ts
@@ -127,6 +127,29 @@
     },
   );
 
+  // Guards against an event loop that is busy with a flood for as long as the call lasts.
+  it.each(['interim answers', 'headers', 'noise'])('is given up early: %s', async (way) => {
+    server.onCall = ({ socket, id }) => ENDLESS[way]!(socket, id);
+    const reply = await platform.call('GET', '/read/x', { id: 'r-1' });
+    expect(reply.status).toBe(502);
+    expect(reply.elapsedMs).toBeLessThan(TIME_LIMIT_MS / 2);
+  });
+
+  it('is given up early when the bytes are the body of a health check', async () => {
+    let closedChecks = 0;
+    server.onProbe = ({ socket }) => {
+      socket.once('close', () => {
+        closedChecks += 1;
+      });
+      socket.write(`HTTP/1.1 200 x\r\n${CHUNKED}\r\n\r\n4001\r\n${'x'.repeat(0x4001)}\r\n`);
+    };
+    await platform.sleep(100);
+    const closedBefore = closedChecks;
+    await platform.sleep(700);
+    // At its time limit of 250 ms, three checks at most would end meanwhile.
+    expect(closedChecks - closedBefore).toBeGreaterThan(3);
+  });
+
   // Guards against a long answer that is passed on for as long as its server likes to send.
   it('is cut off when a passed-on body lasts longer than its caller waits', async () => {
     server.onCall = ({ socket, id }) => {
