--- a/src/delivery/targetProbe.ts
+++ b/src/delivery/targetProbe.ts
@@ -1,6 +1,6 @@
 import { type Service, type Target } from '../catalog';
 import { type TargetReport, type ObservationKind } from '../knowledge';
-import { type Clock } from '../runtime';
+import { afterPendingInput, type Clock, type Timer } from '../runtime';
 
 import { type CallProtocol } from './callProtocol';
 import { TargetConnection } from './targetConnection';
@@ -12,6 +12,9 @@
 // have arrived in the meantime, so the probe gives no information about the target.
 const MAX_TIMER_DELAY_MS = 60;
 
+// The answer to a health check has hardly a body; a longer one may be without end.
+const MAX_BODY_BYTES = 16 * 1024;
+
 /** Sends health checks to the probe path of one target over a dedicated connection. */
 export class TargetProbe {
   private connection: TargetConnection | null = null;
@@ -29,19 +32,34 @@
   send(service: Service): Promise<TargetReport | null> {
     const { clock, target } = this;
     const connection = this.acquireConnection();
-    const startedAt = clock.now();
     return new Promise((resolve) => {
       let report: TargetReport | null = null;
-      const timeoutAt = startedAt + PROBE_TIMEOUT_MS;
-      const timer = clock.setTimer(timeoutAt, () => {
-        const isLate = clock.now() > timeoutAt + MAX_TIMER_DELAY_MS;
-        resolve(isLate ? null : this.emptyReport('lost'));
-        connection.close();
-      });
+      let hasEnded = false;
+      let bodyBytes = 0;
+      let silentSince = clock.now();
+      let timer: Timer;
+      const limitSilence = () => {
+        const timeoutAt = silentSince + PROBE_TIMEOUT_MS;
+        timer = clock.setTimer(timeoutAt, () => {
+          const isLate = clock.now() > timeoutAt + MAX_TIMER_DELAY_MS;
+          afterPendingInput(() => {
+            if (hasEnded) return;
+            if (silentSince + PROBE_TIMEOUT_MS > timeoutAt) {
+              limitSilence();
+              return;
+            }
+            resolve(isLate ? null : this.emptyReport('lost'));
+            connection.close();
+          });
+        });
+      };
+      limitSilence();
       connection.send(
         { method: 'GET', path: service.probePath, headers: ['host', target.address], body: null },
         {
-          onSent: () => {},
+          onSent: () => {
+            silentSince = clock.now();
+          },
           onHead: (status, headers) => {
             const metadata = this.protocol.readAnswer(headers);
             // When another target answers at the address, the probed target is lost: it is no longer
@@ -62,12 +80,22 @@
             };
           },
           // The body is discarded; true keeps the answer flowing.
-          onData: () => true,
+          onData: (chunk) => {
+            bodyBytes += chunk.length;
+            if (bodyBytes <= MAX_BODY_BYTES || hasEnded) return true;
+            hasEnded = true;
+            timer.cancel();
+            resolve(this.emptyReport('lost'));
+            connection.close();
+            return false;
+          },
           onEnd: () => {
+            hasEnded = true;
             timer.cancel();
             resolve(report);
           },
           onError: (error) => {
+            hasEnded = true;
             timer.cancel();
             resolve(error.kind === 'aborted' ? null : this.emptyReport('lost'));
           },
