Log why the process ends, and what a start waits for

An operator saw a process that was gone, without code or reason: event 2307 came for one path only, and the last buffered lines were lost on some. A log that nobody read could keep the end from coming at all, since closing the writer waited for its reader without a limit.

Cause: each path to an exit had its own handling; the log existed only once the settings were read; the listener of uncaught errors was set after that, read a property of what was thrown (`throw null` ended the process with 7), and a rejected start was only logged.

The launcher reports a bundle that cannot be loaded. Each wait of a start is one line (2316, 2318) and one when it is over (2317, 2319).

--- a/scripts/bundlePlatform.js
+++ b/scripts/bundlePlatform.js
@@ -38,7 +38,14 @@
 build('scripts/warmUp.ts', warmUpBundle);
 
 const write = process.stdout.write.bind(process.stdout);
-const exit = process.exit.bind(process);
+
+function exit(code) {
+  // The daemon would report the end of the build as its own.
+  process.removeAllListeners('exit');
+  // The daemon still runs in this process.
+  // eslint-disable-next-line n/no-process-exit
+  process.exit(code);
+}
 
 // Runs the daemon against stand-ins, so that the code cache covers the first seconds of a host. With
 // only the code of module loading in the cache, a restarted host takes 0.4 s to become ready.
--- a/scripts/platformLauncher.js
+++ b/scripts/platformLauncher.js
@@ -5,11 +5,30 @@
 if (require.main === module)
   for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT']) process.on(signal, () => {});
 
-const { readFileSync } = require('node:fs');
+const { readFileSync, writeSync } = require('node:fs');
+const { hostname } = require('node:os');
 const Module = require('node:module');
 const { join } = require('node:path');
 const { Script } = require('node:vm');
 
+// Number and message of the event `exited` of src/balancer/events.ts.
+const EXIT_EVENT = { level: 30, event: 2320, msg: 'balancer process ends' };
+
+// A bundle that cannot be loaded leaves no other line. The daemon replaces this listener.
+function exitAfterError(error) {
+  const reason = String(error?.stack ?? error);
+  const origin = { name: 'limpetknot', hostname: hostname(), pid: process.pid };
+  const line = { ...origin, v: 0, ...EXIT_EVENT, time: new Date().toISOString(), reason, code: 1 };
+  try {
+    writeSync(1, `${JSON.stringify(line)}\n`);
+  } catch {
+    // The pipe is full or its reader is gone.
+  }
+  // A part of the bundle that was loaded must not keep the process alive.
+  // eslint-disable-next-line n/no-process-exit
+  process.exit(1);
+}
+
 function readCache(path) {
   try {
     return readFileSync(path);
@@ -37,4 +56,7 @@
 
 module.exports = { loadBundle };
 
-if (require.main === module) loadBundle(join(__dirname, 'balancer.js'));
+if (require.main === module) {
+  process.on('uncaughtException', exitAfterError);
+  loadBundle(join(__dirname, 'balancer.js'));
+}
--- a/src/balancer/bindWhenFree.ts
+++ b/src/balancer/bindWhenFree.ts
@@ -23,12 +23,16 @@
   name: string,
   bind: () => Promise<Result<Value, string>>,
 ): Promise<Result<Value, string>> {
-  const deadline = clock.now() + BIND_TIMEOUT_MS;
+  const startedAt = clock.now();
+  const deadline = startedAt + BIND_TIMEOUT_MS;
   let bound = await bind();
-  if (bound.err) events.emit(BALANCER_EVENTS.addressInUse, { part: name, reason: bound.val });
+  if (bound.ok) return bound;
+  events.emit(BALANCER_EVENTS.addressInUse, { part: name, reason: bound.val });
   while (bound.err && clock.now() < deadline) {
     await waitUntil(clock, clock.now() + BIND_RETRY_MS);
     bound = await bind();
   }
+  const waitedMs = Math.round(clock.now() - startedAt);
+  if (bound.ok) events.emit(BALANCER_EVENTS.addressOpened, { part: name, waitedMs });
   return bound;
 }
--- a/src/balancer/events.ts
+++ b/src/balancer/events.ts
@@ -24,7 +24,15 @@
   addressInUse: {
     number: 2316,
     level: 'warn',
-    message: 'an address could not be opened; retrying',
+    message: 'waiting for an address that could not be opened',
   },
+  addressOpened: { number: 2317, level: 'info', message: 'address opened after a wait' },
+  settingsAwaited: {
+    number: 2318,
+    level: 'warn',
+    message: 'waiting for settings that are missing or invalid',
+  },
+  settingsRead: { number: 2319, level: 'info', message: 'settings read after a wait' },
+  exited: { number: 2320, level: 'info', message: 'balancer process ends' },
   unexpected: { number: 2315, level: 'error', message: 'unexpected error' },
 });
--- a/src/balancer/index.ts
+++ b/src/balancer/index.ts
@@ -1,4 +1,5 @@
-export { runBalancer, type BalancerCommand } from './runBalancer';
+export { runBalancer } from './runBalancer';
+export { type BalancerCommand } from './balancerCommand';
 export { type BalancerAdapter } from './balancerAdapter';
 export { Balancer, type BalancerParts } from './balancer';
 export { BALANCER_EVENTS } from './events';
--- a/src/logging/bufferedWriter.ts
+++ b/src/logging/bufferedWriter.ts
@@ -45,17 +45,22 @@
     return true;
   }
 
-  /** Writes the buffered lines and resolves once the output has accepted them. */
+  /** Writes the buffered lines and resolves once the output has accepted them and earlier ones. */
   async close(): Promise<void> {
-    this.isClosed = true;
-    if (this.flushTimer !== null) clearTimeout(this.flushTimer);
-    const remainder = this.takeBuffer();
-    if (remainder.length === 0) return;
+    const remainder = this.closeNow();
+    if (remainder.length === 0 && this.output.writableLength === 0) return;
     await new Promise<void>((resolve) => {
       this.output.write(remainder, () => resolve());
     });
   }
 
+  /** Accepts no more lines and returns those that were not yet passed to the output. */
+  closeNow(): string {
+    this.isClosed = true;
+    if (this.flushTimer !== null) clearTimeout(this.flushTimer);
+    return this.takeBuffer();
+  }
+
   private scheduleFlush(): void {
     this.flushTimer ??= setTimeout(() => this.flush(), FLUSH_INTERVAL_MS);
     this.flushTimer.unref();
--- a/src/logging/index.ts
+++ b/src/logging/index.ts
@@ -7,4 +7,5 @@
 export { type Decision } from './decision';
 export { DecisionLog } from './decisionLog';
 export { BufferedWriter } from './bufferedWriter';
+export { writeNow } from './writeNow';
 export { LOGGING_EVENTS } from './events';
--- a/src/logging/lineLog.ts
+++ b/src/logging/lineLog.ts
@@ -29,12 +29,15 @@
   }
 
   emit(event: EventDefinition, fields: EventFields = {}): void {
+    this.writer.write(this.format(event, fields));
+  }
+
+  /** The line of an event, including its newline. */
+  format(event: EventDefinition, fields: EventFields = {}): string {
     const time = this.wallClock().toISOString();
     const fieldsJson = JSON.stringify(fields).slice(1);
     const head = `${this.prefix},"level":${BUNYAN_LEVELS[event.level]},"event":${event.number}`;
     const separator = fieldsJson === '}' ? '' : ',';
-    this.writer.write(
-      `${head},"msg":"${event.message}","time":"${time}"${separator}${fieldsJson}\n`,
-    );
+    return `${head},"msg":"${event.message}","time":"${time}"${separator}${fieldsJson}\n`;
   }
 }
--- a/test/support/balancerProcess.ts
+++ b/test/support/balancerProcess.ts
@@ -20,6 +20,8 @@
 
   private readonly folder = mkdtempSync(join(tmpdir(), 'balancer-'));
 
+  readonly settingsFile = join(this.folder, 'settings');
+
   constructor(private readonly platform: TestPlatform) {}
 
   /** Chooses free ports on `ip` and settings that fit the stand-ins of the platform. */
@@ -43,13 +45,13 @@
   /** Writes the settings file. */
   writeSettings(): void {
     const lines = Object.entries(this.settings).map(([name, value]) => `${name}=${value}`);
-    writeFileSync(join(this.folder, 'settings'), `${lines.join('\n')}\n`);
+    writeFileSync(this.settingsFile, `${lines.join('\n')}\n`);
   }
 
-  /** Starts the process; resolves to its exit code when it ends. */
-  launch(): Promise<number | null> {
-    const child = spawn(process.execPath, [MAIN], {
-      env: { PATH: process.env.PATH, LIMPETKNOT_NODE_FILE: join(this.folder, 'settings') },
+  /** Starts the process, or one with other arguments of Node.js; resolves to its exit code. */
+  launch(argumentList: readonly string[] = [MAIN]): Promise<number | null> {
+    const child = spawn(process.execPath, argumentList, {
+      env: { PATH: process.env.PATH, LIMPETKNOT_NODE_FILE: this.settingsFile },
     });
     this.child = child;
     const appendOutput = (chunk: Buffer) => {
@@ -58,10 +60,26 @@
     child.stdout.on('data', appendOutput);
     child.stderr.on('data', appendOutput);
     return new Promise((resolve) => {
-      child.on('exit', (code) => resolve(code));
+      // With all of its output received.
+      child.on('close', (code) => resolve(code));
     });
   }
 
+  /** Events of the log so far that have `number`. */
+  logged(number: number): readonly Record<string, unknown>[] {
+    return this.records().filter(({ event }) => event === number);
+  }
+
+  /** The last line of the log. */
+  lastRecord(): Record<string, unknown> | undefined {
+    return this.records().at(-1);
+  }
+
+  private records(): readonly Record<string, unknown>[] {
+    const lines = this.output.split('\n').filter((line) => line.startsWith('{'));
+    return lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+  }
+
   /** Waits until the process reports that it is ready. */
   async untilReady(): Promise<void> {
     for (let attempt = 0; attempt < 300; attempt += 1) {
