--- a/test/balancer/memoryBounds.test.ts
+++ b/test/balancer/memoryBounds.test.ts
@@ -1,4 +1,4 @@
-import { BalancerProcess } from '../support/balancerProcess';
+import { BalancerProcess, MAIN } from '../support/balancerProcess';
 import { RawCaller } from '../support/rawCaller';
 import { answerText, ScriptedServer, type ScriptedRequest } from '../support/scriptedServer';
 import { TestPlatform } from '../support/testPlatform';
@@ -52,7 +52,7 @@
     }
     await balancer.prepare();
     balancer.writeSettings();
-    endOfProcess = balancer.launch(NODE_ARGUMENTS);
+    endOfProcess = balancer.launch([...NODE_ARGUMENTS, MAIN]);
     await balancer.untilReady();
     await platform.sleep(300);
   }
--- a/test/support/balancerProcess.ts
+++ b/test/support/balancerProcess.ts
@@ -7,7 +7,8 @@
 
 import { type TestPlatform } from './testPlatform';
 
-const MAIN = join(__dirname, '..', '..', 'dist', 'platform', 'main.js');
+/** Program of the balancer. */
+export const MAIN = join(__dirname, '..', '..', 'dist', 'platform', 'main.js');
 const BYTES_PER_KILOBYTE = 1024;
 
 /** A balancer in a process of its own, with its settings file, for a test. */
@@ -20,6 +21,8 @@
 
   private readonly folder = mkdtempSync(join(tmpdir(), 'balancer-'));
 
+  readonly settingsFile = join(this.folder, 'settings');
+
   constructor(private readonly platform: TestPlatform) {}
 
   /** Chooses free ports on `ip` and settings that fit the stand-ins of the platform. */
@@ -43,13 +46,13 @@
   /** Writes the settings file. */
   writeSettings(): void {
     const lines = Object.entries(this.settings).map(([name, value]) => `${name}=${value}`);
-    writeFileSync(join(this.folder, 'settings'), `${lines.join('\n')}\n`);
+    writeFileSync(this.settingsFile, `${lines.join('\n')}\n`);
   }
 
-  /** Starts the process with these arguments of Node.js; resolves to its exit code when it ends. */
-  launch(nodeArguments: readonly string[] = []): Promise<number | null> {
-    const child = spawn(process.execPath, [...nodeArguments, MAIN], {
-      env: { PATH: process.env.PATH, LIMPETKNOT_NODE_FILE: join(this.folder, 'settings') },
+  /** Starts the process, or one with other arguments of Node.js; resolves to its exit code. */
+  launch(argumentList: readonly string[] = [MAIN]): Promise<number | null> {
+    const child = spawn(process.execPath, argumentList, {
+      env: { PATH: process.env.PATH, LIMPETKNOT_NODE_FILE: this.settingsFile },
     });
     this.child = child;
     const appendOutput = (chunk: Buffer) => {
@@ -58,10 +61,26 @@
     child.stdout.on('data', appendOutput);
     child.stderr.on('data', appendOutput);
     return new Promise((resolve) => {
-      child.on('exit', (code) => resolve(code));
+      // With all of its output received.
+      child.on('close', (code) => resolve(code));
     });
   }
 
+  /** Events of the log so far that have `number`. */
+  logged(number: number): readonly Record<string, unknown>[] {
+    return this.records().filter(({ event }) => event === number);
+  }
+
+  /** The last line of the log. */
+  lastRecord(): Record<string, unknown> | undefined {
+    return this.records().at(-1);
+  }
+
+  private records(): readonly Record<string, unknown>[] {
+    const lines = this.output.split('\n').filter((line) => line.startsWith('{'));
+    return lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+  }
+
   /** Waits until the process reports that it is ready. */
   async untilReady(): Promise<void> {
     for (let attempt = 0; attempt < 300; attempt += 1) {
