Open each address by itself, and wait for it without a time limit

A host whose address for callers, readiness, control or messages between hosts was held by another process for longer than five seconds ended with code 1, once more after each restart. Meanwhile nothing answered at its readiness address, since the addresses were opened one after the other. A stop takes up to its grace, six seconds and more, so that the successor of a stopping process could end so, and so could any host beside a kept connection.

Cause: one obstacle of one address decided over the whole start, and a time limit turned what passes into an end.

Addresses opens each by itself, readiness first, and tries again until it is open or the process stops. The host is ready once the addresses that calls need are open: callers, and the exchange, without which it knows neither the limits and crashes that others see nor their number. Control and metrics keep no calls out. `waitingFor` in the status and the gauge addresses_awaited name what is missing. A host that was never open to calls stops at once. The port of metrics is tried again too.

Event 2307 has no use any more: event 2320 tells why a process ends.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, Result } from 'ts-results';
+import { type Server } from 'node:http';
 
 import { Ledger } from '../catalog';
 import {
@@ -10,13 +10,7 @@
   type CallEnd,
   type IncomingCall,
 } from '../delivery';
-import {
-  type DatagramLink,
-  Exchange,
-  type HostAddress,
-  openDatagramLink,
-  EXCHANGE_EVENTS,
-} from '../exchange';
+import { Exchange, type HostAddress, UdpLink, EXCHANGE_EVENTS } from '../exchange';
 import {
   InFlightBroadcaster,
   LastSlotSlowdowns,
@@ -36,13 +30,13 @@
 import { CatalogReader, mustRead, SOURCE_EVENTS } from '../source';
 import { CrashTable } from '../suspects';
 
+import { Addresses } from './addresses';
 import { type BalancerAdapter } from './balancerAdapter';
 import { TargetConditionLog } from './beliefLog';
 import { callShare, MIN_ASSUMED_HOSTS } from './callShare';
 import { createControlServer } from './controlServer';
 import { describeBalancer } from './describeBalancer';
 import { BALANCER_EVENTS } from './events';
-import { bindWhenFree } from './bindWhenFree';
 import { listenAt } from './listen';
 import { BALANCER_METRICS } from './metrics';
 import { pullCatalog } from './pullCatalog';
@@ -51,6 +45,10 @@
 
 // Period of work that no event triggers: assigning health checks, detecting lost targets, gauges.
 const TICK_MS = 100;
+// Without the exchange a host knows neither the limits and crashes that others see nor how many they
+// are, so that its calls could break what the hosts keep together. The other addresses serve hosts and
+// operators, who have other hosts to ask.
+const ADDRESSES_OF_CALLS = ['caller-address', 'exchange-port'];
 
 /** Settings and dependencies of a balancer. */
 export interface BalancerParts {
@@ -102,10 +100,11 @@
 
   private hasLoggedReady = false;
 
-  private constructor(
-    private readonly parts: BalancerParts,
-    link: DatagramLink,
-  ) {
+  private readonly link: UdpLink;
+
+  private readonly addresses: Addresses;
+
+  private constructor(private readonly parts: BalancerParts) {
     const { clock, random, events, settings, adapter, metrics } = parts;
     const { protocol } = adapter;
     const catalog = () => this.ledger.catalog();
@@ -118,7 +117,11 @@
     );
     this.targetConditions = new TargetConditionLog(clock, this.targetStates, events);
     this.crashTable = new CrashTable(clock);
-    this.exchange = this.makeExchange(link);
+    this.link = new UdpLink((error) =>
+      events.emit(EXCHANGE_EVENTS.linkError, { reason: error.message }),
+    );
+    this.exchange = this.makeExchange(this.link);
+    this.addresses = new Addresses({ clock, events, onOpened: () => this.applyOpenedAddress() });
     this.subsets = new TargetSubsets({
       hostId: settings['host-id'],
       zone: settings.zone,
@@ -215,28 +218,23 @@
     });
   }
 
-  /** Starts a balancer; the error names the address or port that could not be opened. */
-  static async start(parts: BalancerParts): Promise<Result<Balancer, string>> {
-    const { settings, events, lifecycle } = parts;
-    const ip = ipOf(settings['control-address']);
-    const opened = await bindWhenFree(parts, 'exchange-port', () =>
-      Result.wrapAsync<DatagramLink, Error>(() =>
-        openDatagramLink(ip, settings['exchange-port'], (error) =>
-          events.emit(EXCHANGE_EVENTS.linkError, { reason: error.message }),
-        ),
-      ).then((result) => result.mapErr((error) => error.message)),
-    );
-    if (opened.err) return Err(`exchange port: ${opened.val}`);
-    const link = opened.val;
-    lifecycle.own('exchange link', () => link.close());
-    const balancer = new Balancer(parts, link);
-    const ready = await balancer.open();
-    return ready.ok ? Ok(balancer) : ready;
+  /** Starts a balancer. It is not ready before the addresses that calls need are open. */
+  static async start(parts: BalancerParts): Promise<Balancer> {
+    const balancer = new Balancer(parts);
+    await balancer.open();
+    return balancer;
   }
 
   /** Whether callers should send calls to this host. */
   isReady(): boolean {
-    return !this.isStopping() && this.ledger.catalog().configuration !== null;
+    const hasConfiguration = this.ledger.catalog().configuration !== null;
+    return hasConfiguration && this.isOpenToCalls() && !this.isStopping();
+  }
+
+  /** Whether the addresses that calls need are open. */
+  isOpenToCalls(): boolean {
+    const awaited = this.addresses.waitingFor();
+    return !ADDRESSES_OF_CALLS.some((name) => awaited.includes(name));
   }
 
   /**
@@ -252,39 +250,28 @@
     return this.stopDeadline !== Infinity;
   }
 
-  private async open(): Promise<Result<void, string>> {
-    const { settings, clock, lifecycle } = this.parts;
+  private async open(): Promise<void> {
+    const { settings, lifecycle } = this.parts;
     this.subscribeToLedger();
+    const ip = ipOf(settings['control-address']);
+    const metricsPort = settings['metrics-port'];
     const readiness = createReadinessServer(settings['readiness-path'], () => this.isReady());
-    const control = createControlServer({
-      ...{ clock, ledger: this.ledger },
-      renderMetrics: () => this.parts.metrics.render(),
-      describe: () =>
-        describeBalancer({
-          settings,
-          clock,
-          catalog: this.ledger.catalog(),
-          targetStates: this.targetStates,
-          subsets: this.subsets,
-          hosts: this.exchange.membership.live(),
-          source: { state: this.reader.state(), lastAnswerAt: this.reader.lastAnswerAt() },
-          isReady: this.isReady(),
-        }),
-    });
-    const servers = [
-      { name: 'caller-address', server: this.calls.server, address: settings['caller-address'] },
-      { name: 'readiness-address', server: readiness, address: settings['readiness-address'] },
-      { name: 'control-address', server: control, address: settings['control-address'] },
+    const control = this.makeControlServer(() => this.describe());
+    // Answers /catalog, /metrics, /status and /livez as the control address does, except that /status
+    // is an empty object: this port is for the metrics, and the control address serves the status.
+    const metrics = this.makeControlServer(() => ({}));
+    lifecycle.own('exchange link', () => this.link.close());
+    const attempts = [
+      this.openServer('readiness-address', readiness, settings['readiness-address']),
+      this.openServer('caller-address', this.calls.server, settings['caller-address']),
+      this.addresses.open('exchange-port', () => this.link.open(ip, settings['exchange-port'])),
+      this.openServer('control-address', control, settings['control-address']),
+      ...(metricsPort === 0
+        ? []
+        : [this.openServer('metrics-port', metrics, `${ip}:${metricsPort}`)]),
     ];
-    for (const { name, server, address } of servers) {
-      const bound = await bindWhenFree(this.parts, name, () => listenAt(server, address));
-      if (bound.err) return Err(`${name} ${address}: ${bound.val}`);
-      lifecycle.own(name, () => {
-        server.close();
-        server.closeAllConnections();
-      });
-    }
-    await this.openMetrics();
+    lifecycle.own('addresses', () => this.addresses.close());
+    await Promise.all(attempts);
     lifecycle.own('connections to targets', () => this.delivery.close());
     lifecycle.own('probes', () => this.probes.close());
     this.exchange.start();
@@ -292,23 +279,45 @@
     void this.reader.run();
     lifecycle.own('catalog reader', () => this.reader.close());
     lifecycle.own('turns', this.startTicks());
-    return Ok(undefined);
   }
 
-  private async openMetrics(): Promise<void> {
-    const { settings, events, clock, lifecycle } = this.parts;
-    const port = settings['metrics-port'];
-    if (port === 0) return;
-    // Answers /catalog, /metrics, /status and /livez as the control address does, except that /status
-    // is an empty object: this port is for the metrics, and the control address serves the status.
-    const server = createControlServer({
-      ...{ clock, ledger: this.ledger, describe: () => ({}) },
-      renderMetrics: () => this.parts.metrics.render(),
+  private openServer(name: string, server: Server, address: string): Promise<void> {
+    this.parts.lifecycle.own(name, () => {
+      server.close();
+      server.closeAllConnections();
     });
-    const bound = await listenAt(server, `${ipOf(settings['control-address'])}:${port}`);
-    // Not fatal: the control address serves the metrics too.
-    if (bound.err) events.emit(BALANCER_EVENTS.startFailed, { part: 'metrics', reason: bound.val });
-    else lifecycle.own('metrics-port', () => server.closeAllConnections());
+    return this.addresses.open(name, () => listenAt(server, address));
+  }
+
+  private makeControlServer(describe: () => unknown): Server {
+    const { clock, metrics } = this.parts;
+    const renderMetrics = () => metrics.render();
+    return createControlServer({ clock, ledger: this.ledger, renderMetrics, describe });
+  }
+
+  private describe() {
+    const { settings, clock } = this.parts;
+    return describeBalancer({
+      ...{ settings, clock, targetStates: this.targetStates, subsets: this.subsets },
+      catalog: this.ledger.catalog(),
+      hosts: this.exchange.membership.live(),
+      source: { state: this.reader.state(), lastAnswerAt: this.reader.lastAnswerAt() },
+      isReady: this.isReady(),
+      waitingFor: this.addresses.waitingFor(),
+    });
+  }
+
+  private applyOpenedAddress(): void {
+    // Other hosts learn of this one at once if it was the address of the exchange.
+    this.exchange.announce();
+    this.logReadyOnce();
+  }
+
+  private logReadyOnce(): void {
+    if (this.hasLoggedReady || !this.isReady()) return;
+    this.hasLoggedReady = true;
+    const sinceStartMs = Math.round(process.uptime() * 1000);
+    this.parts.events.emit(BALANCER_EVENTS.ready, { sinceStartMs });
   }
 
   private subscribeToLedger(): void {
@@ -328,9 +337,7 @@
         targets: catalog.targets.size,
         zonesOut: [...catalog.zonesOut],
       });
-      if (this.hasLoggedReady || !this.isReady()) return;
-      this.hasLoggedReady = true;
-      events.emit(BALANCER_EVENTS.ready, { sinceStartMs: Math.round(process.uptime() * 1000) });
+      this.logReadyOnce();
     });
   }
 
@@ -367,7 +374,7 @@
     });
   }
 
-  private makeExchange(link: DatagramLink): Exchange {
+  private makeExchange(link: UdpLink): Exchange {
     const { clock, random, events, settings } = this.parts;
     const ip = ipOf(settings['control-address']);
     const ownHostKey = identityKey(settings['host-id']);
@@ -453,6 +460,7 @@
       this.inFlightBroadcaster.refresh();
       if (this.subsets.refresh()) this.probes.assign();
       this.probes.tick();
+      metrics.gauge(BALANCER_METRICS.awaitedAddresses, this.addresses.waitingFor().length);
       metrics.gauge(BALANCER_METRICS.hosts, this.exchange.membership.live().length);
       this.reportCatalog();
       metrics.gauge(BALANCER_METRICS.linesDropped, droppedLines());
--- a/src/balancer/describeBalancer.ts
+++ b/src/balancer/describeBalancer.ts
@@ -15,6 +15,8 @@
   readonly hosts: readonly KnownHost[];
   readonly source: { readonly state: SourceState; readonly lastAnswerAt: number };
   readonly isReady: boolean;
+  /** Settings of the addresses that are not open yet. */
+  readonly waitingFor: readonly string[];
 }
 
 function age(now: number, at: number): number | null {
@@ -26,12 +28,14 @@
  * milliseconds, null for what was never received.
  */
 export function describeBalancer(input: StatusInput) {
-  const { settings, clock, catalog, targetStates, subsets, hosts, source, isReady } = input;
+  const { settings, clock, catalog, targetStates, subsets, hosts, source, isReady, waitingFor } =
+    input;
   const now = clock.now();
   return {
     host: settings['host-id'],
     zone: settings.zone,
     isReady,
+    waitingFor,
     sharesOutTargets: subsets.isActive(),
     catalog: {
       asOf: catalog.asOf,
--- a/src/balancer/events.ts
+++ b/src/balancer/events.ts
@@ -9,7 +9,6 @@
   stopped: { number: 2304, level: 'info', message: 'balancer stopped' },
   reloaded: { number: 2305, level: 'info', message: 'settings file reloaded' },
   reloadFailed: { number: 2306, level: 'warn', message: 'settings file is invalid' },
-  startFailed: { number: 2307, level: 'error', message: 'balancer could not start' },
   catalogChanged: { number: 2308, level: 'info', message: 'catalog changed' },
   targetLost: { number: 2309, level: 'info', message: 'target is considered lost' },
   targetHealthy: { number: 2310, level: 'info', message: 'target is confirmed healthy' },
--- a/src/balancer/metrics.ts
+++ b/src/balancer/metrics.ts
@@ -50,6 +50,12 @@
     unit: 'answers',
     description: 'Answers received from the catalog source.',
   },
+  awaitedAddresses: {
+    name: 'balancer.addresses_awaited',
+    kind: 'gauge',
+    unit: 'addresses',
+    description: 'Addresses that could not be opened yet.',
+  },
   hosts: { name: 'balancer.hosts', kind: 'gauge', unit: 'hosts', description: 'Other live hosts.' },
   asOf: {
     name: 'balancer.catalog_revision',
--- a/src/balancer/runBalancer.ts
+++ b/src/balancer/runBalancer.ts
@@ -50,9 +50,12 @@
   graceMs: number,
 ): Promise<ProcessEnd> {
   const signal = await stop.requested;
+  const callsRunning = balancer.calls.callsRunning();
+  if (!balancer.isOpenToCalls() && callsRunning === 0)
+    return { reason: `stopped by ${signal} before it was open to calls`, code: 0 };
   const startedAt = clock.now();
   balancer.beginStop(lastAnswerTime(startedAt, graceMs));
-  log.emit(BALANCER_EVENTS.stopping, { signal, running: balancer.calls.callsRunning() });
+  log.emit(BALANCER_EVENTS.stopping, { signal, running: callsRunning });
   await drainCalls({ clock, events: log, calls: balancer.calls, startedAt, graceMs });
   log.emit(BALANCER_EVENTS.stopped);
   return { reason: `stopped by ${signal}`, code: 0 };
@@ -79,20 +82,15 @@
     });
     lifecycle.own('settings watch', stopWatching);
   }
-  const started = await Balancer.start({
+  const balancer = await Balancer.start({
     ...{ settings, adapter, clock, events: log, lifecycle },
     random: new SeededRandom(seed),
     metrics: new PrometheusSink(),
     seeds: () => settings.seeds,
     droppedLines: () => log.droppedLines(),
   });
-  if (started.err) {
-    log.emit(BALANCER_EVENTS.startFailed, { reason: started.val });
-    process.stderr.write(`${started.val}\n`);
-    return { reason: started.val, code: EXIT_FAILURE };
-  }
   log.emit(BALANCER_EVENTS.started, { zone: settings.zone, seed, seeds: settings.seeds });
-  return stopBalancer(parts, started.val, settings['stop-grace-s'] * 1000);
+  return stopBalancer(parts, balancer, settings['stop-grace-s'] * 1000);
 }
 
 async function run(parts: ProcessParts): Promise<ProcessEnd> {
--- a/src/exchange/index.ts
+++ b/src/exchange/index.ts
@@ -2,6 +2,7 @@
 export { type KnownHost } from './knownHost';
 export { Membership } from './membership';
 export { type CrashNotice, type Message } from './message';
-export { type DatagramLink, openDatagramLink } from './datagramLink';
+export { type DatagramLink } from './datagramLink';
+export { UdpLink } from './udpLink';
 export { Exchange, type ExchangeParts } from './exchange';
 export { EXCHANGE_EVENTS } from './events';
--- a/test/support/testPlatform.ts
+++ b/test/support/testPlatform.ts
@@ -116,7 +116,7 @@
         'stop-grace-s': '3',
       },
     });
-    const started = await Balancer.start({
+    this.balancer = await Balancer.start({
       settings: settings.unwrap().values,
       seeds: () => [],
       adapter: {
@@ -133,7 +133,6 @@
       lifecycle: this.lifecycle,
       droppedLines: () => 0,
     });
-    this.balancer = started.unwrap();
     if (options.waitReady === false) return;
     await this.until(() => this.balancer!.isReady());
     // By then the first health checks have been answered.
