Wait for settings until they are complete, and take no part of a file for the whole

A host whose settings file was absent or incomplete for longer than two seconds ended with code 2, again after each restart. A file that was cut in its last value (`caller-address=10.1.0.15:86` of `:8641`) was taken as it was: the host listened at an address that nobody calls, until its next start.

Cause: the time limit of the start, and a file format in which the part of a file is a valid file.

The template begins with `# begin of settings` and ends with `# end of settings`; a file with the first and without the second is not complete, at the start and on changes. A file without marks is taken at once if it ends with a line end, else after it has not changed for two seconds. The start waits for as long as the file may still change; only errors of the command line, or of a start without a file, end it with 2. Files that are refused on a change are read again at each interval, with one line for each reason. Addresses that are not open yet follow the newest settings. A port above 65535 is an invalid setting. A file that cannot be reached while it is watched is no longer an error.

A file without marks that is cut exactly at the end of a line can still not be told from a complete one.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -53,7 +53,8 @@
 /** Settings and dependencies of a balancer. */
 export interface BalancerParts {
   readonly settings: BalancerSettings;
-  readonly seeds: () => readonly string[];
+  /** The newest settings; seeds and addresses that are not open yet are taken from them. */
+  readonly currentSettings: () => BalancerSettings;
   readonly adapter: BalancerAdapter;
   readonly clock: Clock;
   readonly random: Random;
@@ -253,8 +254,8 @@
   private async open(): Promise<void> {
     const { settings, lifecycle } = this.parts;
     this.subscribeToLedger();
-    const ip = ipOf(settings['control-address']);
-    const metricsPort = settings['metrics-port'];
+    const current = this.parts.currentSettings;
+    const currentIp = () => ipOf(current()['control-address']);
     const readiness = createReadinessServer(settings['readiness-path'], () => this.isReady());
     const control = this.makeControlServer(() => this.describe());
     // Answers /catalog, /metrics, /status and /livez as the control address does, except that /status
@@ -262,14 +263,17 @@
     const metrics = this.makeControlServer(() => ({}));
     lifecycle.own('exchange link', () => this.link.close());
     const attempts = [
-      this.openServer('readiness-address', readiness, settings['readiness-address']),
-      this.openServer('caller-address', this.calls.server, settings['caller-address']),
-      this.addresses.open('exchange-port', () => this.link.open(ip, settings['exchange-port'])),
-      this.openServer('control-address', control, settings['control-address']),
-      ...(metricsPort === 0
-        ? []
-        : [this.openServer('metrics-port', metrics, `${ip}:${metricsPort}`)]),
+      this.openServer('readiness-address', readiness, () => current()['readiness-address']),
+      this.openServer('caller-address', this.calls.server, () => current()['caller-address']),
+      this.addresses.open('exchange-port', () =>
+        this.link.open(currentIp(), current()['exchange-port']),
+      ),
+      this.openServer('control-address', control, () => current()['control-address']),
     ];
+    if (settings['metrics-port'] !== 0) {
+      const address = () => `${currentIp()}:${current()['metrics-port']}`;
+      attempts.push(this.openServer('metrics-port', metrics, address));
+    }
     lifecycle.own('addresses', () => this.addresses.close());
     await Promise.all(attempts);
     lifecycle.own('connections to targets', () => this.delivery.close());
@@ -281,12 +285,12 @@
     lifecycle.own('turns', this.startTicks());
   }
 
-  private openServer(name: string, server: Server, address: string): Promise<void> {
+  private openServer(name: string, server: Server, address: () => string): Promise<void> {
     this.parts.lifecycle.own(name, () => {
       server.close();
       server.closeAllConnections();
     });
-    return this.addresses.open(name, () => listenAt(server, address));
+    return this.addresses.open(name, () => listenAt(server, address()));
   }
 
   private makeControlServer(describe: () => unknown): Server {
@@ -382,7 +386,7 @@
     return new Exchange({
       ...{ clock, random, link, events, self, ledger: this.ledger, zones: settings.zones },
       incarnation: random.integer(2 ** 30),
-      seeds: () => this.parts.seeds().map(ipOf),
+      seeds: () => this.parts.currentSettings().seeds.map(ipOf),
       sourceState: () => this.reader.state(),
       isLeaving: () => this.isStopping(),
       sharersOf: (target) => this.subsets.sharersOf(target),
--- a/src/balancer/runBalancer.ts
+++ b/src/balancer/runBalancer.ts
@@ -11,7 +11,7 @@
 import { BALANCER_EVENTS } from './events';
 import { ProcessLog } from './processLog';
 import { listenToStopSignals, type StopRequest } from './processSignals';
-import { awaitSettings, readAllSettings } from './settingsFile';
+import { SettingsReader } from './settingsReader';
 import { drainCalls, lastAnswerTime } from './stop';
 import { logUncaughtErrors } from './uncaughtErrors';
 import { watchSettings } from './watchSettings';
@@ -34,6 +34,7 @@
   readonly clock: Clock;
   readonly log: ProcessLog;
   readonly stop: StopRequest;
+  readonly settingsReader: SettingsReader;
 }
 
 async function closeResources({ clock, log }: ProcessParts, lifecycle: Lifecycle): Promise<void> {
@@ -66,19 +67,23 @@
   initialSettings: BalancerSettings,
   lifecycle: Lifecycle,
 ): Promise<ProcessEnd> {
-  const { command, adapter, clock, log } = parts;
+  const { command, adapter, clock, log, settingsReader } = parts;
   let settings = initialSettings;
   const seed = Number(process.hrtime.bigint() % 2n ** 31n);
   const { settingsFile } = command;
   if (settingsFile !== null) {
+    let lastErrors = '';
     const stopWatching = watchSettings(settingsFile, settings['settings-check-ms'], clock, () => {
-      const reread = readAllSettings(command);
-      if ('errors' in reread) {
-        log.emit(BALANCER_EVENTS.reloadFailed, { errors: reread.errors });
-        return;
-      }
+      const reread = settingsReader.read();
+      const errors = 'errors' in reread ? reread.errors : [];
+      // One line for each reason, although the file is read again until it is valid.
+      if (errors.length > 0 && errors.join() !== lastErrors)
+        log.emit(BALANCER_EVENTS.reloadFailed, { errors });
+      lastErrors = errors.join();
+      if (!('settings' in reread)) return false;
       settings = reread.settings;
       log.emit(BALANCER_EVENTS.reloaded, { seeds: settings.seeds });
+      return true;
     });
     lifecycle.own('settings watch', stopWatching);
   }
@@ -86,7 +91,7 @@
     ...{ settings, adapter, clock, events: log, lifecycle },
     random: new SeededRandom(seed),
     metrics: new PrometheusSink(),
-    seeds: () => settings.seeds,
+    currentSettings: () => settings,
     droppedLines: () => log.droppedLines(),
   });
   log.emit(BALANCER_EVENTS.started, { zone: settings.zone, seed, seeds: settings.seeds });
@@ -94,8 +99,8 @@
 }
 
 async function run(parts: ProcessParts): Promise<ProcessEnd> {
-  const { command, clock, log, stop } = parts;
-  const read = await awaitSettings(command, clock, log, stop.signal);
+  const { log, stop, settingsReader } = parts;
+  const read = await settingsReader.readComplete(log, stop.signal);
   if (stop.signal.aborted) return { reason: `stopped by ${await stop.requested}`, code: 0 };
   if ('errors' in read) {
     process.stderr.write(`${read.errors.join('\n')}\n`);
@@ -126,7 +131,8 @@
   const log = new ProcessLog(clock);
   logUncaughtErrors(log);
   const stop = listenToStopSignals();
-  const { reason, code } = await run({ command, adapter, clock, log, stop }).catch(
+  const settingsReader = new SettingsReader(command, clock);
+  const { reason, code } = await run({ command, adapter, clock, log, stop, settingsReader }).catch(
     (error: unknown): ProcessEnd => ({ reason: inspect(error), code: EXIT_FAILURE }),
   );
   await log.end(reason, code);
--- a/src/balancer/watchSettings.ts
+++ b/src/balancer/watchSettings.ts
@@ -2,33 +2,39 @@
 
 import { type Clock, runEvery } from '../runtime';
 
-/** Calls `onChange` when the file at `path` changes and on SIGHUP; returns a function to stop. */
+/**
+ * Calls `onChange` when the file at `path` changes and on SIGHUP, and again at each interval for as long
+ * as it returns false; returns a function to stop.
+ */
 export function watchSettings(
   path: string,
   intervalMs: number,
   clock: Clock,
-  onChange: () => void,
+  onChange: () => boolean,
 ): () => void {
   const readStamp = () => {
-    // One stat call of a local file each interval; the file is read only at start and on changes.
-    // eslint-disable-next-line n/no-sync
-    const { mtimeMs, size, ino } = statSync(path, { throwIfNoEntry: false }) ?? {};
-    return `${mtimeMs} ${size} ${ino}`;
+    try {
+      // One stat call of a local file each interval; the file is read only at start and on changes.
+      // eslint-disable-next-line n/no-sync
+      const { mtimeMs, size, ino } = statSync(path);
+      return `${mtimeMs} ${size} ${ino}`;
+    } catch {
+      // The file is being replaced, or cannot be reached for now.
+      return 'absent';
+    }
   };
   let lastStamp = readStamp();
-  const stop = runEvery(clock, intervalMs, () => {
-    const currentStamp = readStamp();
-    if (currentStamp === lastStamp) return;
-    lastStamp = currentStamp;
-    onChange();
-  });
-  const onSignal = () => {
+  let isApplied = true;
+  const apply = () => {
     lastStamp = readStamp();
-    onChange();
+    isApplied = onChange();
   };
-  process.on('SIGHUP', onSignal);
+  const stop = runEvery(clock, intervalMs, () => {
+    if (!isApplied || readStamp() !== lastStamp) apply();
+  });
+  process.on('SIGHUP', apply);
   return () => {
     stop();
-    process.off('SIGHUP', onSignal);
+    process.off('SIGHUP', apply);
   };
 }
--- a/src/settings/balancerSettings.ts
+++ b/src/settings/balancerSettings.ts
@@ -3,7 +3,11 @@
 import { type SettingTable, type SettingValues } from './settingDefinition';
 
 const identifier = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/, 'must be a name');
-const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'must be an IP address and a port');
+const MAX_PORT = 65_535;
+const address = z
+  .string()
+  .regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'must be an IP address and a port')
+  .refine((text) => Number(text.split(':')[1]) <= MAX_PORT, 'must have a port up to 65535');
 const commaSeparatedList = z
   .string()
   .transform((text) => text.split(',').filter((part) => part !== ''));
@@ -47,7 +51,7 @@
     schema: z
       .string()
       .transform((text) => Number(text.split(',')[0]))
-      .pipe(z.number().int().min(1).max(65_535)),
+      .pipe(z.number().int().min(1).max(MAX_PORT)),
     fallback: null,
     unit: 'port',
     description:
@@ -60,7 +64,7 @@
     description: 'Path of the readiness endpoint.',
   },
   'metrics-port': {
-    schema: z.coerce.number().int().min(0).max(65_535),
+    schema: z.coerce.number().int().min(0).max(MAX_PORT),
     fallback: '0',
     unit: 'port',
     description: 'Port that serves metrics in addition to the control address; 0 for none.',
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -9,5 +9,6 @@
 export { helpText } from './helpText';
 export { GATEWAY_SETTINGS, type GatewaySettings } from './gatewaySettings';
 export { BALANCER_SETTINGS, type BalancerSettings } from './balancerSettings';
-export { readSettingsFile } from './readSettingsFile';
+export { SettingsFile } from './settingsFile';
+export { findSettingsEnd, parseSettingsFile } from './parseSettingsFile';
 export { CONTROL_SETTINGS, type ControlSettings } from './controlSettings';
--- a/test/balancer/heldAddresses.test.ts
+++ b/test/balancer/heldAddresses.test.ts
@@ -106,4 +106,15 @@
       SETTINGS.map((setting) => [setting, 0, isClosedToCalls(setting)]),
     );
   }, 20_000);
+
+  // Guards against a host that waits for an address which the platform has corrected meanwhile.
+  it('opens another address that the settings name meanwhile', async () => {
+    for (const { setting, balancer, platform } of hosts.slice(0, 2)) {
+      await platform.until(() => balancer.logged(2316).length === 1);
+      const port = String(await freePort());
+      balancer.settings[setting] = balancer.settings[setting]!.replace(/\d+$/, port);
+      balancer.writeSettings();
+      await balancer.untilReady();
+    }
+  }, 20_000);
 });
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -1,4 +1,17 @@
-import { formatSettingsError, GATEWAY_SETTINGS, helpText, readSettings } from '../src/settings';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { ManualClock } from '../src/runtime';
+import {
+  findSettingsEnd,
+  formatSettingsError,
+  GATEWAY_SETTINGS,
+  helpText,
+  parseSettingsFile,
+  readSettings,
+  SettingsFile,
+} from '../src/settings';
 
 const REQUIRED = {
   LIMPETKNOT_HOST_ID: 'host-1',
@@ -54,3 +67,34 @@
     expect(text).toContain(`--${flag}, LIMPETKNOT_`);
   expect(text).toContain("default '8080'");
 });
+
+// Guards against taking a settings file that is still being written for a complete one.
+test('a file with marks is complete only with its last line, however it is cut', () => {
+  const template = readFileSync(join(__dirname, '..', 'deploy', 'settings.template'), 'utf8');
+  const whole = template.trimEnd();
+  expect(findSettingsEnd(template)).toBe('complete');
+  for (let length = 0; length < whole.length; length += 1) {
+    const cut = whole.slice(0, length);
+    const isTaken = findSettingsEnd(cut) === 'complete';
+    expect(isTaken && Object.keys(parseSettingsFile(cut).unwrap()).length > 0).toBe(false);
+  }
+});
+
+// Guards against a file of an older version, or of an editor, that is never taken.
+test.each([
+  ['zone=a\n', 0],
+  ['zone=a', 2000],
+  ['zone=', 2000],
+])('a file without marks is taken: %j', (text, waitMs) => {
+  const folder = mkdtempSync(join(tmpdir(), 'settings-'));
+  const path = join(folder, 'settings');
+  writeFileSync(path, text);
+  const clock = new ManualClock();
+  const file = new SettingsFile(path, clock);
+  expect(file.read().ok).toBe(waitMs === 0);
+  clock.advanceBy(Math.max(0, waitMs - 1));
+  expect(file.read().ok).toBe(waitMs === 0);
+  clock.advanceBy(1);
+  expect(file.read().ok).toBe(true);
+  rmSync(folder, { recursive: true });
+});
