--- a/test/support/testPlatform.ts
+++ b/test/support/testPlatform.ts
@@ -116,9 +116,9 @@
         'stop-grace-s': '3',
       },
     });
-    const started = await Balancer.start({
+    this.balancer = await Balancer.start({
       settings: settings.unwrap().values,
-      seeds: () => [],
+      currentSettings: () => settings.unwrap().values,
       adapter: {
         protocol: platformCallProtocol,
         openSource: (address, clock) => new Store(address, clock),
@@ -133,7 +133,6 @@
       lifecycle: this.lifecycle,
       droppedLines: () => 0,
     });
-    this.balancer = started.unwrap();
     if (options.waitReady === false) return;
     await this.until(() => this.balancer!.isReady());
     // By then the first health checks have been answered.
