Believe no answer without the id of its call

A caller was told 503 "not run" while a server ran its call, or two servers ran it, when a faulty server wrote a refusal without an id as the first bytes on a new connection. A host also left such a server alone for as long as the copy's Retry-After or Server-Leaving said.

An answer without an id was doubted on a reused connection only. Servers repeat the id in each answer, so its absence proves nothing on any connection: the outcome is unknown now, and what the answer states of the server is not heeded.

--- a/src/delivery/attempt.ts
+++ b/src/delivery/attempt.ts
@@ -107,7 +107,7 @@
   }
 
   private classify(): AnswerClassification {
-    return classifyAnswer(this.head!, this.call, this.connection.isReused());
+    return classifyAnswer(this.head!, this.call);
   }
 
   // An answer that is not passed on is not read to its end, which may never come.
--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -206,6 +206,8 @@
     if (catalog.configuration === null) return this.refuse('noConfiguration', request);
     const route = catalog.routes.find(request.headers.host ?? '', request.url ?? '');
     if (route === null) return { kind: 'rejected', status: 404, detail: 'no route' };
+    // Nothing would show that an answer belongs to the call, and targets reject it as well.
+    if (id === '') return { kind: 'rejected', status: 400, detail: 'no call id' };
     const service = this.serviceChoice.next(route);
     if (service === null) return this.refuse('noTarget', request);
     const deadlines = callDeadlines(request, route, arrivedAt, this.parts.protocol);
--- a/src/delivery/classifyAnswer.ts
+++ b/src/delivery/classifyAnswer.ts
@@ -10,25 +10,18 @@
 }
 
 /**
- * Classifies an answer by its head; whether the body is complete is checked elsewhere. On a reused
- * connection an answer without a call id may be a late copy of an earlier one, so that it proves
- * nothing about this call.
+ * Classifies an answer by its head; whether the body is complete is checked elsewhere. Targets repeat
+ * the id of the call in each answer, and the connection has carried no other call with that id, so an
+ * answer without it may belong to any call and proves nothing about this one.
  */
-export function classifyAnswer(
-  head: AnswerHead,
-  call: IncomingCall,
-  isConnectionReused: boolean,
-): AnswerClassification {
+export function classifyAnswer(head: AnswerHead, call: IncomingCall): AnswerClassification {
   const { status, headers, metadata } = head;
-  if (metadata.callId === null && isConnectionReused) {
-    return { end: 'unknown', message: 'answer without call id on a reused connection' };
-  }
-  if (metadata.callId !== null && metadata.callId !== call.id) {
-    return { end: 'unknown', message: `answer of another call: ${metadata.callId}` };
+  if (metadata.callId !== call.id) {
+    return { end: 'unknown', message: `answer of another call: ${metadata.callId ?? 'no id'}` };
   }
   if (metadata.isNotRun || status === 421) return { end: 'notRun', message: `status ${status}` };
-  if (status < 300 && (!metadata.isSigned || metadata.callId === null)) {
-    return { end: 'unknown', message: 'success without signature or call id' };
+  if (status < 300 && !metadata.isSigned) {
+    return { end: 'unknown', message: 'success without signature' };
   }
   if (headers['content-encoding'] !== undefined) {
     return { end: 'unknown', message: 'answer with an encoding that nobody asked for' };
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -196,7 +196,7 @@
     priorState: PriorTargetState,
   ): void {
     const { load, coldLeft } = head.metadata;
-    const isForThisCall = head.metadata.callId === null || head.metadata.callId === attempt.call.id;
+    const isForThisCall = head.metadata.callId === attempt.call.id;
     if (!isForThisCall || head.status === 421) return;
     this.recordWishes(attempt.target, head);
     const isNormalAnswer = head.status < 500;
--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -42,8 +42,6 @@
 
   private isClosed = false;
 
-  private requestsSent = 0;
-
   private activeListener: ExchangeListener | null = null;
 
   private controller: Dispatcher.DispatchController | null = null;
@@ -82,15 +80,9 @@
     return this.socket !== null && !this.isClosed;
   }
 
-  /** Whether the request in progress, or the last one, is not the first on this connection. */
-  isReused(): boolean {
-    return this.requestsSent > 1;
-  }
-
   /** Sends a request; only one may be in progress at a time. */
   send(request: OutgoingRequest, listener: ExchangeListener): void {
     this.activeListener = listener;
-    this.requestsSent += 1;
     const { method, path, headers, body } = request;
     let isStarted = false;
     let isFramed = true;
--- a/test/balancer/repeatedRefusals.test.ts
+++ b/test/balancer/repeatedRefusals.test.ts
@@ -119,13 +119,18 @@
       })),
     ),
   );
-  const long = (['earlier', 'own'] as const).map((copyId) => ({
-    ...{ method: 'POST' as const, serverCount: 1, copyId, isKept: true, isLong: true },
+  const fresh = METHODS.flatMap((method) =>
+    [1, 2].map((serverCount) => ({
+      ...{ method, serverCount, copyId: 'none' as const, isKept: false, isLong: false },
+    })),
+  );
+  const long = (['none', 'earlier', 'own'] as const).map((copyId) => ({
+    ...{ method: 'POST' as const, serverCount: 1, copyId, isKept: copyId !== 'none', isLong: true },
   }));
 
   // Guards against telling a caller that its call was not run while a server runs it, and against
   // sending such a call to a second server.
-  it.each<Case>([...kept, ...long])(
+  it.each<Case>([...kept, ...fresh, ...long])(
     'does not refuse a call that runs: $method, $serverCount servers, id $copyId, kept $isKept, long $isLong',
     async (test) => {
       await start(test.method, DELAYS.length, test.serverCount);
@@ -210,6 +215,33 @@
     },
   );
 
+  // Guards against leaving a server alone because of what an answer without identity states of it.
+  it.each(['Retry-After: 30', 'Server-Leaving: 1'])(
+    'does not heed a copy with %s',
+    async (line) => {
+      await start('POST', 1, 1);
+      const [server] = servers;
+      server!.onCall = ({ socket, id }) =>
+        socket.write(
+          id === 'first'
+            ? refusalText('').replace('\r\n', `\r\n${line}\r\n`)
+            : answerText(id, 'ran'),
+        );
+      expect((await platform.call('POST', '/s0/x', { id: 'first', body: 'seat' })).status).toBe(
+        502,
+      );
+      expect((await platform.call('POST', '/s0/x', { body: 'seat' })).status).toBe(200);
+    },
+  );
+
+  // Guards against sending a call whose answer nothing would identify.
+  it('rejects a call without an id, unsent', async () => {
+    await start('POST', 1, 1);
+    const replies = [1, 2].map(() => platform.call('POST', '/s0/x', { id: '', body: 'seat' }));
+    const statuses = (await Promise.all(replies)).map(({ status }) => status);
+    expect([statuses, servers[0]!.received]).toEqual([[400, 400], []]);
+  });
+
   // Guards against doubting refusals that are true, and against a new connection for each of them.
   it.each(REFUSALS.flatMap((status) => METHODS.map((method) => ({ status, method }))))(
     'leaves true refusals as they are: $status, $method',
