Recognise copies of answers of targets that repeat call ids at the gateway

A caller of the sheet's gateway got the answer of the call before it, or "not run" for a call that a target ran, when a target wrote an earlier answer once more on a kept connection; with two targets both ran it.

Nothing in the protocol between gateway and targets says which call an answer belongs to. An answer with another id, or without one after an answer that had its id, proves nothing: its connection is closed and the outcome is unknown. Targets that repeat no ids are believed as before, since doubting their refusals on reused connections would take the second target from sound ones; their copies remain unrecognised. A target that is replaced by one without ids is doubted once.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -5,6 +5,7 @@
 import { type AttemptResult, type Slot } from '../routing';
 import { type Clock } from '../runtime';
 
+import { type AnswerIdentity } from './answerIdentity';
 import { type AttemptObserver } from './attemptObserver';
 import { type Call } from './call';
 import { type ConnectionPools } from './connectionPools';
@@ -24,6 +25,7 @@
 /** Dependencies of an attempt. */
 export interface AttemptContext {
   readonly targetPools: ConnectionPools;
+  readonly answerIdentity: AnswerIdentity;
   readonly clock: Clock;
   readonly observer: AttemptObserver;
 }
@@ -99,6 +101,13 @@
   return Ok(new SlotAnswer(answer, slot, { kind: 'answered', status: answer.status, signals }));
 }
 
+function discardForeignAnswer(slot: Slot, answer: Answer): PlacementResult {
+  answer.cancel();
+  slot.finish({ kind: 'connection-lost' });
+  const outcome = outcomeUnknown('connection-lost', 'the target sent the answer of another call');
+  return Err({ outcome, target: slot.target.target });
+}
+
 /** Sends a call to the target of `slot`; the slot is returned whatever the result. */
 export async function attemptCall(
   call: Call,
@@ -107,8 +116,9 @@
 ): Promise<PlacementResult> {
   const { target } = slot;
   const connections = Math.max(1, Math.floor(target.connections / 2));
+  const pool = context.targetPools.poolFor(target.address, target.port, connections);
   const head = await transmit(
-    context.targetPools.poolFor(target.address, target.port, connections),
+    pool,
     {
       method: call.method,
       path: call.path,
@@ -120,6 +130,8 @@
     },
     context.clock,
   );
+  if (head.ok && !context.answerIdentity.mayBelong(head.val.headers, call.traits.callId, pool))
+    return discardForeignAnswer(slot, head.val);
   if (head.ok) return handleAnswerHead(call, slot, head.val, context.observer);
   slot.finish(toAttemptResult(head.val));
   reportFailure(call, target.target, head.val, context.observer);
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -3,7 +3,8 @@
 import { notRun } from '../outcomes';
 import { type Choice, type PlacementEnd, type Slot } from '../routing';
 
-import { attemptCall } from './attempt';
+import { AnswerIdentity } from './answerIdentity';
+import { attemptCall, type AttemptContext } from './attempt';
 import { type Call } from './call';
 import { type ForwarderContext } from './forwarderContext';
 import { type PlacementResult } from './placementResult';
@@ -31,6 +32,8 @@
 export class Forwarder {
   private readonly placer: Placer;
 
+  private readonly attemptContext: AttemptContext;
+
   private readonly histories = new Map<string, ServiceHistory>();
 
   private readonly runningTargets = new RunningTargets();
@@ -38,6 +41,7 @@
   private readonly suspectIsolation = new SuspectIsolation();
 
   constructor(private readonly context: ForwarderContext) {
+    this.attemptContext = { ...context, answerIdentity: new AnswerIdentity() };
     this.placer = new Placer({
       router: context.router,
       clock: context.clock,
@@ -83,7 +87,7 @@
       return Err({ outcome, target });
     }
     this.runningTargets.begin(callId, target);
-    const result = await attemptCall(call, slot, this.context);
+    const result = await attemptCall(call, slot, this.attemptContext);
     this.runningTargets.end(callId, target);
     if (suspect !== null) this.suspectIsolation.end(target);
     return result;
