Keep descriptors for targets, and do not call a target lost for the lack of one

At its limit of descriptors a host told the others that its targets were lost, and refused calls with 503 "not run: noTarget", on kept connections too: x86-64, real process, `ulimit -n 200`, 400 callers at once: 15 losses of sound targets; 120 callers with a call each: 21. The process did not end, used 0.07 to 0.11 of a core and served new callers again 1.5 s after the others had left.

Cause: the number of caller connections had no bound, so they took the descriptors of the connections to targets; `connect EMFILE` was judged like a target that can't be reached.

A connection that fails for a lack of this host (EMFILE and the like) ends as `noSocket`: the call is tried elsewhere or refused, the target keeps its state.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -51,6 +51,9 @@
 
 // Period of work that no event triggers: assigning health checks, detecting lost targets, gauges.
 const TICK_MS = 100;
+// Each call needs a connection of its caller and one to a target; the rest is for health checks, other
+// hosts and files.
+const CALLER_DESCRIPTOR_SHARE = 0.45;
 
 /** Settings and dependencies of a balancer. */
 export interface BalancerParts {
@@ -212,6 +215,7 @@
     this.calls = new CallServer({
       ...{ clock, random, events, protocol, catalog, context: this.delivery },
       observer: { onEnd: (call, end, elapsedMs) => this.countCall(call, end, elapsedMs) },
+      maxConnections: Math.floor(settings['descriptor-limit'] * CALLER_DESCRIPTOR_SHARE),
     });
   }
 
--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -29,6 +29,8 @@
 // during that time would retry later than that and lose one of its attempts.
 const CONFIGURATION_WAIT_MS = 250;
 
+const TURNED_AWAY_LOG_INTERVAL_MS = 1000;
+
 /** Observes the end of each call. */
 export interface CallObserver {
   onEnd(call: IncomingCall | null, end: CallEnd, elapsedMs: number): void;
@@ -43,6 +45,8 @@
   readonly context: DeliveryContext;
   readonly catalog: () => Catalog;
   readonly observer: CallObserver;
+  /** Upper bound of the open connections of callers. */
+  readonly maxConnections: number;
 }
 
 /** HTTP server for callers; runs one task per call. */
@@ -53,6 +57,11 @@
 
   private runningCalls = 0;
 
+  /** Connections turned away since this was last logged. */
+  private turnedAway = 0;
+
+  private turnedAwayLoggedAt = -Infinity;
+
   /** Tasks of the calls without a final answer. */
   private readonly runs = new Set<CallRun>();
 
@@ -65,6 +74,8 @@
     this.serviceChoice = new WeightedRoundRobin(parts.random);
     this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
     this.server.requestTimeout = 0;
+    this.server.maxConnections = parts.maxConnections;
+    this.server.on('drop', () => this.recordTurnedAway());
     this.server.on('connection', (socket) => this.addConnection(socket));
     this.server.on('request', (request, response) => {
       void this.serve(request, response);
@@ -109,6 +120,15 @@
     socket.once('close', () => this.connections.delete(socket));
   }
 
+  private recordTurnedAway(): void {
+    this.turnedAway += 1;
+    const now = this.parts.clock.now();
+    if (now < this.turnedAwayLoggedAt + TURNED_AWAY_LOG_INTERVAL_MS) return;
+    this.turnedAwayLoggedAt = now;
+    this.parts.events.emit(DELIVERY_EVENTS.turnedAway, { connections: this.turnedAway });
+    this.turnedAway = 0;
+  }
+
   private maxBodyBytes(): number {
     return this.parts.catalog().configuration?.limits.bodyBytes ?? 0;
   }
--- a/src/delivery/connectionError.ts
+++ b/src/delivery/connectionError.ts
@@ -6,7 +6,8 @@
 
 /**
  * `notSent`: the request was not sent, usually because the connection could not be opened;
+ * `noSocket`: it was not sent because this host can open no more sockets;
  * `broken`: the connection ended before the answer was complete; `garbled`: the answer violates
  * HTTP; `aborted`: this host cancelled the request.
  */
-export type ConnectionErrorKind = 'notSent' | 'broken' | 'garbled' | 'aborted';
+export type ConnectionErrorKind = 'notSent' | 'noSocket' | 'broken' | 'garbled' | 'aborted';
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -250,6 +250,8 @@
       error: result.error,
       reason: result.message,
     });
+    // What this host lacks says nothing about the target.
+    if (result.error === 'noSocket') return;
     this.report(target, result.end === 'notSent' ? 'lost' : 'failure', NOTHING_STATED);
     if (result.error === 'broken') {
       this.parts.onUnexpectedClose(target.id);
--- a/src/delivery/events.ts
+++ b/src/delivery/events.ts
@@ -18,6 +18,11 @@
     message: 'target states a limit of calls that is not a number; logged once for each target',
   },
   crash: { number: 2206, level: 'warn', message: 'target crashed while it ran a call' },
+  turnedAway: {
+    number: 2210,
+    level: 'warn',
+    message: 'connections of callers were turned away, because too many are open',
+  },
   targetQuiet: {
     number: 2209,
     level: 'info',
--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -23,6 +23,10 @@
 // while the target closes the connection.
 const IDLE_MARGIN_MS = 1500;
 const MAX_IDLE_TIMEOUT_MS = 60_000;
+// Errors that show a lack of this host: of descriptors, memory or local ports.
+const OWN_LACK_CODES: ReadonlySet<string> = new Set([
+  ...['EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM', 'EADDRNOTAVAIL'],
+]);
 // Error code with which undici reports that it closed an idle connection itself.
 const LOCAL_CLOSE_CODE = 'UND_ERR_INFO';
 
@@ -43,6 +47,9 @@
 
   private hasSocketError = false;
 
+  /** Kind of the failure of a request that was not sent. */
+  private unsentKind: ConnectionErrorKind = 'notSent';
+
   private isClosed = false;
 
   private requestsSent = 0;
@@ -99,7 +106,7 @@
     let isFramed = true;
     let interimAnswers = 0;
     const fail = (kind: ConnectionErrorKind, message: string) =>
-      this.failRequest({ kind: isStarted ? kind : 'notSent', message });
+      this.failRequest({ kind: isStarted ? kind : this.unsentKind, message });
     try {
       this.client.dispatch(
         { method, path, headers: [...headers], body },
@@ -184,8 +191,9 @@
       noDelay: true,
     });
     const timeout = this.limitConnectTime(socket);
-    const onError = (error: Error) => {
+    const onError = (error: NodeJS.ErrnoException) => {
       timeout.cancel();
+      if (OWN_LACK_CODES.has(error.code ?? '')) this.unsentKind = 'noSocket';
       callback(error, null);
     };
     socket.once('error', onError);
--- a/src/delivery/targetProbe.ts
+++ b/src/delivery/targetProbe.ts
@@ -97,7 +97,8 @@
           onError: (error) => {
             hasEnded = true;
             timer.cancel();
-            resolve(error.kind === 'aborted' ? null : this.emptyReport('lost'));
+            const isOwnCause = error.kind === 'aborted' || error.kind === 'noSocket';
+            resolve(isOwnCause ? null : this.emptyReport('lost'));
           },
         },
       );
--- a/src/settings/balancerSettings.ts
+++ b/src/settings/balancerSettings.ts
@@ -7,6 +7,9 @@
 const commaSeparatedList = z
   .string()
   .transform((text) => text.split(',').filter((part) => part !== ''));
+/** A positive number; any other text, such as that of a template without a value, means `fallback`. */
+const optionalNumber = (fallback: number) =>
+  z.string().transform((text) => (Number(text) > 0 ? Number(text) : fallback));
 const positiveNumber = z.coerce.number().positive();
 
 /** Settings of limpetknot-balancer, the daemon for hosts that have no sheet. */
@@ -110,6 +113,13 @@
     unit: 's',
     description: 'Window in which retries are counted.',
   },
+  'descriptor-limit': {
+    schema: optionalNumber(4096),
+    fallback: '',
+    unit: 'descriptors',
+    description:
+      'File descriptors that the process may open; callers get at most 45% of them. 4096 if empty.',
+  },
   'settings-check-ms': {
     schema: positiveNumber,
     fallback: '1000',
--- a/test/support/balancerProcess.ts
+++ b/test/support/balancerProcess.ts
@@ -46,9 +46,10 @@
     writeFileSync(join(this.folder, 'settings'), `${lines.join('\n')}\n`);
   }
 
-  /** Starts the process with these arguments of Node.js; resolves to its exit code when it ends. */
-  launch(nodeArguments: readonly string[] = []): Promise<number | null> {
-    const child = spawn(process.execPath, [...nodeArguments, MAIN], {
+  /** Starts the process with these arguments of Node.js and limit of descriptors; resolves to its exit code when it ends. */
+  launch(nodeArguments: readonly string[] = [], descriptorLimit = 4096): Promise<number | null> {
+    const command = `ulimit -n ${descriptorLimit}; exec "$0" "$@"`;
+    const child = spawn('sh', ['-c', command, process.execPath, ...nodeArguments, MAIN], {
       env: { PATH: process.env.PATH, LIMPETKNOT_NODE_FILE: join(this.folder, 'settings') },
     });
     this.child = child;
