--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -50,6 +50,9 @@
 // are, so that its calls could break what the hosts keep together. The other addresses serve hosts and
 // operators, who have other hosts to ask.
 const ADDRESSES_OF_CALLS = ['caller-address', 'exchange-port'];
+// Each call needs a connection of its caller and one to a target; the rest is for health checks, other
+// hosts and files.
+const CALLER_DESCRIPTOR_SHARE = 0.45;
 
 /** Settings and dependencies of a balancer. */
 export interface BalancerParts {
@@ -220,6 +223,7 @@
     this.calls = new CallServer({
       ...{ clock, random, events, protocol, catalog, context: this.delivery },
       observer: { onEnd: (call, end, elapsedMs) => this.countCall(call, end, elapsedMs) },
+      maxConnections: Math.floor(settings['descriptor-limit'] * CALLER_DESCRIPTOR_SHARE),
     });
   }
 
--- a/test/support/balancerProcess.ts
+++ b/test/support/balancerProcess.ts
@@ -61,9 +61,13 @@
       .join('');
   }
 
-  /** Starts the process, or one with other arguments of Node.js; resolves to its exit code. */
-  launch(argumentList: readonly string[] = [MAIN]): Promise<number | null> {
-    const child = spawn(process.execPath, argumentList, {
+  /**
+   * Starts the process, or one with other arguments of Node.js, with a limit of descriptors; resolves to
+   * its exit code.
+   */
+  launch(argumentList: readonly string[] = [MAIN], descriptorLimit = 4096): Promise<number | null> {
+    const command = `ulimit -n ${descriptorLimit}; exec "$0" "$@"`;
+    const child = spawn('sh', ['-c', command, process.execPath, ...argumentList], {
       env: { PATH: process.env.PATH, ...this.environment },
     });
     this.child = child;
