Refuse an answer in a transfer coding other than chunked

Callers got a success with the framing of its chunks as its body, or with an empty body, framed as whole: a target had broken off within `Transfer-Encoding: chunked`, and an empty line or the rest of the answer followed.

An answer with any `Transfer-Encoding` counted as one that says where it ends. In another coding than chunked ("chun", "identity", an empty one, a list) it ends with its connection, and undici reports it as complete at the close. Such a head is now an answer that violates HTTP: a 502, or a second target for calls that may be repeated.

test/balancer/cutHeads: the four rows with another coding failed before (200 instead of 502), the other 30 pass before and after and are guards: GET and HEAD, 204, 304, interim answers, chunk extensions and trailers, HTTP/1.0, each cut at each byte, closed and reset; heads with two lengths, a length and chunks, two ids.

--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -8,6 +8,7 @@
 import { type ConnectionError, type ConnectionErrorKind } from './connectionError';
 import { type ExchangeListener } from './exchangeListener';
 import { guardSocket } from './guardSocket';
+import { headFault } from './headFault';
 import { type OutgoingRequest } from './outgoingRequest';
 
 // Connections open within a few milliseconds; a target that is down or partitioned never answers.
@@ -100,6 +101,11 @@
           },
           onResponseStart: (controller, status, answerHeaders) => {
             if (status < 200) return;
+            const fault = headFault(answerHeaders);
+            if (fault !== null) {
+              if (this.activeListener === listener) fail('garbled', fault);
+              return;
+            }
             isFramed =
               answerHeaders['content-length'] !== undefined ||
               answerHeaders['transfer-encoding'] !== undefined ||
