--- a/test/balancer/cutHeads.test.ts
+++ b/test/balancer/cutHeads.test.ts
@@ -20,6 +20,7 @@
   'two ids': ['Request-Id: ID', 'Request-Id: other', BODY_LENGTH],
   'two ids, the other first': ['Request-Id: other', 'Request-Id: ID', BODY_LENGTH],
   'the same id twice': ['Request-Id: ID', 'Request-Id: ID', BODY_LENGTH],
+  'two signatures': ['Request-Id: ID', 'Upstream-Signature: s.2', BODY_LENGTH],
 };
 
 function damagedAnswer(id: string, lines: readonly string[]): string {
