--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -9,6 +9,7 @@
 import { type ConnectionError, type ConnectionErrorKind } from './connectionError';
 import { type ExchangeListener } from './exchangeListener';
 import { guardSocket } from './guardSocket';
+import { headFault } from './headFault';
 import { type OutgoingRequest } from './outgoingRequest';
 import { readInPortions } from './readInPortions';
 
@@ -115,6 +116,11 @@
                 fail('garbled', 'too many interim answers');
               return;
             }
+            const fault = headFault(answerHeaders);
+            if (fault !== null) {
+              if (this.activeListener === listener) fail('garbled', fault);
+              return;
+            }
             isFramed =
               answerHeaders['content-length'] !== undefined ||
               answerHeaders['transfer-encoding'] !== undefined ||
