--- a/test/balancer/endlessAnswers.test.ts
+++ b/test/balancer/endlessAnswers.test.ts
@@ -1,6 +1,6 @@
 import { type Socket } from 'node:net';
 
-import { BalancerProcess } from '../support/balancerProcess';
+import { BalancerProcess, DEPLOYED_FLAGS, MAIN } from '../support/balancerProcess';
 import { answerText, ScriptedServer } from '../support/scriptedServer';
 import { TestPlatform } from '../support/testPlatform';
 
@@ -207,7 +207,7 @@
       await platform.addServer('good', { id: 'i-good', workMs: 5 });
       await balancer.prepare();
       balancer.writeSettings();
-      void balancer.launch();
+      void balancer.launch([...DEPLOYED_FLAGS, MAIN]);
       await balancer.untilReady();
       await platform.sleep(500);
       const before = balancer.residentBytes();
--- a/test/balancer/memoryBounds.test.ts
+++ b/test/balancer/memoryBounds.test.ts
@@ -1,4 +1,4 @@
-import { BalancerProcess, MAIN } from '../support/balancerProcess';
+import { BalancerProcess, DEPLOYED_FLAGS, MAIN } from '../support/balancerProcess';
 import { RawCaller } from '../support/rawCaller';
 import { answerText, ScriptedServer, type ScriptedRequest } from '../support/scriptedServer';
 import { TestPlatform } from '../support/testPlatform';
@@ -7,8 +7,6 @@
 const GOOD_ROUTE = { prefix: '/good/', service: 'good', isIdempotent: true, timeLimitMs: 2000 };
 const MEBIBYTE = 1024 * 1024;
 const MEMORY_LIMIT_BYTES = 350 * MEBIBYTE;
-// The process is started as in deploy/system.toml.
-const NODE_ARGUMENTS = ['--max-old-space-size=160', '--max-semi-space-size=2'];
 const TINY_CHUNKS = '1\r\nx\r\n'.repeat(240_000);
 
 function head(method: string, id: string, ...lines: readonly string[]): string {
@@ -52,7 +50,7 @@
     }
     await balancer.prepare();
     balancer.writeSettings();
-    endOfProcess = balancer.launch([...NODE_ARGUMENTS, MAIN]);
+    endOfProcess = balancer.launch([...DEPLOYED_FLAGS, MAIN]);
     await balancer.untilReady();
     await platform.sleep(300);
   }
--- a/test/support/balancerProcess.ts
+++ b/test/support/balancerProcess.ts
@@ -7,6 +7,8 @@
 
 import { type TestPlatform } from './testPlatform';
 
+/** Arguments of Node.js with which deploy/system.toml starts the balancer. */
+export const DEPLOYED_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=2'];
 /** Program of the balancer. */
 export const MAIN = join(__dirname, '..', '..', 'dist', 'platform', 'main.js');
 const BYTES_PER_KILOBYTE = 1024;
