End the build after its warm-up

The merged build script never ended: one change had made the end of the warm-up call process.exit, and another replaces that function while the daemon is warmed up, to notice its end.

--- a/scripts/bundlePlatform.js
+++ b/scripts/bundlePlatform.js
@@ -51,13 +51,13 @@
 build('scripts/warmUp.ts', warmUpBundle);
 
 const write = process.stdout.write.bind(process.stdout);
+// The daemon still runs in this process, whose exit is replaced to notice its end.
+const exitProcess = process.exit.bind(process);
 
 function exit(code) {
   // The daemon would report the end of the build as its own.
   process.removeAllListeners('exit');
-  // The daemon still runs in this process.
-  // eslint-disable-next-line n/no-process-exit
-  process.exit(code);
+  exitProcess(code);
 }
 
 /** Rejects when the daemon ends, when an error is thrown, and after the time limit. */
