Refuse an answer that is put together from the bytes of two

Callers got a success with the body of another answer, or with a body that began as their own and went on with the head of another: a target stopped within an answer, kept the connection open and sent another answer behind it.

Glued within a header value or the reason phrase, the head has a status line inside; the first status and the second answer's body were passed on. Glued within the body, the next answer fills up the length. The first is refused by its head. The second cannot be told from a body that quotes a status line, so two signs are asked for: the body contains the start of a status line or ends in one, and further bytes came in the same read behind its end, which undici reports as an error of the socket.

--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -10,6 +10,7 @@
 import { guardSocket } from './guardSocket';
 import { headFault } from './headFault';
 import { type OutgoingRequest } from './outgoingRequest';
+import { StatusLineSearch } from './statusLineSearch';
 
 // Connections open within a few milliseconds; a target that is down or partitioned never answers.
 const CONNECT_TIMEOUT_MS = 150;
@@ -88,6 +89,7 @@
     const { method, path, headers, body } = request;
     let isStarted = false;
     let isFramed = true;
+    const search = new StatusLineSearch();
     const fail = (kind: ConnectionErrorKind, message: string) =>
       this.failRequest({ kind: isStarted ? kind : 'notSent', message });
     try {
@@ -99,9 +101,9 @@
             isStarted = true;
             listener.onSent();
           },
-          onResponseStart: (controller, status, answerHeaders) => {
+          onResponseStart: (controller, status, answerHeaders, statusText) => {
             if (status < 200) return;
-            const fault = headFault(answerHeaders);
+            const fault = headFault(answerHeaders, statusText ?? '');
             if (fault !== null) {
               if (this.activeListener === listener) fail('garbled', fault);
               return;
@@ -115,11 +117,18 @@
             if (this.activeListener === listener) listener.onHead(status, answerHeaders, isFramed);
           },
           onResponseData: (controller, chunk) => {
+            search.add(chunk);
             if (this.activeListener === listener && !listener.onData(chunk)) controller.pause();
           },
           onResponseEnd: () => {
-            if (this.activeListener !== listener) return;
-            this.endRequest(listener, isFramed);
+            const end = () => {
+              if (this.activeListener !== listener) return;
+              if (search.mayContain() && this.hasSurplus()) fail('garbled', 'body of two answers');
+              else this.endRequest(listener, isFramed);
+            };
+            // By then undici has parsed the bytes that were received with the end of the answer.
+            if (search.mayContain()) queueMicrotask(end);
+            else end();
           },
           onResponseError: (controller, error) => {
             if (this.activeListener !== listener) return;
@@ -150,6 +159,12 @@
     listener?.onError({ kind: 'aborted', message: 'given up by this host' });
   }
 
+  // Bytes behind a complete answer belong to none, and do not make it incomplete.
+  private hasSurplus(): boolean {
+    const error: NodeJS.ErrnoException | null | undefined = this.socket?.errored;
+    return error !== null && error !== undefined && error.code !== LOCAL_CLOSE_CODE;
+  }
+
   private endRequest(listener: ExchangeListener, isFramed: boolean): void {
     this.activeListener = null;
     this.lastUsedAt = this.clock.now();
--- a/test/balancer/cutHeads.test.ts
+++ b/test/balancer/cutHeads.test.ts
@@ -1,9 +1,41 @@
 import { SAMPLE_ANSWERS, SAMPLE_BODY } from '../support/cutAnswers';
-import { ScriptedServer } from '../support/scriptedServer';
+import { answerText, ScriptedServer } from '../support/scriptedServer';
 import { TestPlatform } from '../support/testPlatform';
 
 const TIME_LIMIT_MS = 2000;
 
+const OTHER = {
+  'a failure': answerText('ID', 'failed', 500),
+  'a success': answerText('ID', 'another line that is longer'),
+  "another call's answer": answerText('other', 'another line that is longer'),
+  'an answer without an id': answerText('', 'another line that is longer'),
+};
+
+function before(texts: Readonly<Record<string, string>>, text: string): Record<string, string> {
+  return Object.fromEntries(
+    Object.entries(texts).map(([name, other]) => [
+      `${JSON.stringify(text)}, ${name}`,
+      text + other,
+    ]),
+  );
+}
+
+const CONTINUATIONS = {
+  ...OTHER,
+  ...before(OTHER, '\r\n'),
+  ...before(OTHER, '\r\n\r\n'),
+  'a line end': '\r\n',
+  'an empty line': '\r\n\r\n',
+  'a bare line end': '\n',
+  'a bare empty line': '\n\n',
+};
+
+const GLUED = Object.fromEntries(
+  ['GET with a length', 'POST in chunks with extensions and trailers', 'GET, length first'].map(
+    (name) => [name, { sample: SAMPLE_ANSWERS[name]!, others: CONTINUATIONS }],
+  ),
+);
+
 const BODY_LENGTH = `Content-Length: ${SAMPLE_BODY.length}`;
 
 /** Lines of a head that contradict each other or the body, where ID is the id of the call. */
@@ -88,6 +120,38 @@
     60_000,
   );
 
+  // Guards against a head, length or body that is put together from the bytes of two answers.
+  it.each(Object.entries(GLUED))(
+    'is never continued by other bytes: %s',
+    async (_, { sample, others }) => {
+      const text = sample.text('0000');
+      const headLength = text.indexOf('\r\n\r\n') + 4;
+      const wrong: unknown[] = [];
+      let calls = 0;
+      for (const [name, other] of Object.entries(others)) {
+        const last = name in OTHER ? text.length : headLength - 1;
+        for (let length = 1; length <= last; length += 1) {
+          calls += 1;
+          const id = String(calls).padStart(4, '0');
+          server.onCall = ({ socket }) =>
+            socket.end(sample.text(id).slice(0, length) + other.replace('ID', id));
+          const received = await receive(sample.method, id);
+          const isWhole = JSON.stringify(received) === JSON.stringify([200, sample.body]);
+          const isRight = isWhole || (received?.[0] === 502 && length < text.length);
+          if (!isRight)
+            wrong.push([
+              name,
+              JSON.stringify(text.slice(Math.max(0, length - 24), length)),
+              received,
+            ]);
+        }
+      }
+      expect(wrong).toEqual([]);
+      expect(server.received.length).toBe(calls);
+    },
+    60_000,
+  );
+
   // Guards against a success with the framing of its chunks as its body, or with an empty one.
   it.each(Object.entries(CONTRADICTIONS))(
     'is not taken for one of two that it may be: %s',
