Pass on a 304 that states the length of the body it leaves out

Callers that revalidate got 502 instead of a target's 304 when it carried `Content-Length`, as HTTP allows: undici excepts only HEAD from its check of the length. Such an answer is complete with its head; its connection is closed by undici and not used again.

test/balancer/cutHeads, "304 with a length" and the same with `Connection: close`: 502 at the whole length before, 304 after, cut at each byte always 502.

--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -22,6 +22,7 @@
 const MAX_IDLE_TIMEOUT_MS = 60_000;
 // Error code with which undici reports that it closed an idle connection itself.
 const LOCAL_CLOSE_CODE = 'UND_ERR_INFO';
+const LENGTH_MISMATCH_CODE = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
 
 /** Which side closed an idle connection. */
 export type IdleCloseOrigin = 'own' | 'remote';
@@ -89,6 +90,7 @@
     const { method, path, headers, body } = request;
     let isStarted = false;
     let isFramed = true;
+    let isNotModified = false;
     const search = new StatusLineSearch();
     const fail = (kind: ConnectionErrorKind, message: string) =>
       this.failRequest({ kind: isStarted ? kind : 'notSent', message });
@@ -103,6 +105,7 @@
           },
           onResponseStart: (controller, status, answerHeaders, statusText) => {
             if (status < 200) return;
+            isNotModified = status === 304;
             const fault = headFault(answerHeaders, statusText ?? '');
             if (fault !== null) {
               if (this.activeListener === listener) fail('garbled', fault);
@@ -133,8 +136,13 @@
           onResponseError: (controller, error) => {
             if (this.activeListener !== listener) return;
             const { code } = error as Error & { code?: string };
-            const isGarbled =
-              code?.startsWith('HPE_') === true || code === 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
+            // undici expects the body of which a 304 states the length; it has closed the connection.
+            if (isNotModified && code === LENGTH_MISMATCH_CODE) {
+              this.isClosed = true;
+              this.endRequest(listener, true);
+              return;
+            }
+            const isGarbled = code?.startsWith('HPE_') === true || code === LENGTH_MISMATCH_CODE;
             fail(isGarbled ? 'garbled' : 'broken', error.message);
           },
         },
--- a/test/support/cutAnswers.ts
+++ b/test/support/cutAnswers.ts
@@ -50,6 +50,8 @@
   '204, closing': sample('POST', [CLOSE], '', { status: 204 }),
   '204 with a length of 0': sample('GET', ['Content-Length: 0'], '', { status: 204 }),
   '304': sample('GET', ['ETag: "1"'], '', { status: 304 }),
+  '304 with a length': sample('GET', ['ETag: "1"', LENGTH], '', { status: 304 }),
+  '304 with a length, closing': sample('GET', [LENGTH, CLOSE], '', { status: 304 }),
   'an interim answer first': sample('GET', [LENGTH], SAMPLE_BODY, { before: HINTS }),
   'several interim answers first': sample('POST', [LENGTH], SAMPLE_BODY, {
     before: `HTTP/1.1 102 Processing\r\n\r\n${HINTS}${HINTS}`,
