--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -12,6 +12,7 @@
 import { headFault } from './headFault';
 import { type OutgoingRequest } from './outgoingRequest';
 import { readInPortions } from './readInPortions';
+import { StatusLineSearch } from './statusLineSearch';
 
 // Connections open within a few milliseconds; a target that is down or partitioned never answers.
 const CONNECT_TIMEOUT_MS = 150;
@@ -32,6 +33,7 @@
 ]);
 // Error code with which undici reports that it closed an idle connection itself.
 const LOCAL_CLOSE_CODE = 'UND_ERR_INFO';
+const LENGTH_MISMATCH_CODE = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
 
 /** Which side closed an idle connection. */
 export type IdleCloseOrigin = 'own' | 'remote';
@@ -97,6 +99,8 @@
     let isStarted = false;
     let isFramed = true;
     let interimAnswers = 0;
+    let isNotModified = false;
+    const search = new StatusLineSearch();
     const fail = (kind: ConnectionErrorKind, message: string) =>
       this.failRequest({ kind: isStarted ? kind : this.unsentKind, message });
     try {
@@ -108,7 +112,7 @@
             isStarted = true;
             listener.onSent();
           },
-          onResponseStart: (controller, status, answerHeaders) => {
+          onResponseStart: (controller, status, answerHeaders, statusText) => {
             if (status < 200) {
               interimAnswers += 1;
               const isTooMany = interimAnswers > MAX_INTERIM_ANSWERS;
@@ -116,7 +120,8 @@
                 fail('garbled', 'too many interim answers');
               return;
             }
-            const fault = headFault(answerHeaders);
+            isNotModified = status === 304;
+            const fault = headFault(answerHeaders, statusText ?? '');
             if (fault !== null) {
               if (this.activeListener === listener) fail('garbled', fault);
               return;
@@ -130,17 +135,29 @@
             if (this.activeListener === listener) listener.onHead(status, answerHeaders, isFramed);
           },
           onResponseData: (controller, chunk) => {
+            search.add(chunk);
             if (this.activeListener === listener && !listener.onData(chunk)) controller.pause();
           },
           onResponseEnd: () => {
-            if (this.activeListener !== listener) return;
-            this.endRequest(listener, isFramed);
+            const end = () => {
+              if (this.activeListener !== listener) return;
+              if (search.mayContain() && this.hasSurplus()) fail('garbled', 'body of two answers');
+              else this.endRequest(listener, isFramed);
+            };
+            // By then undici has parsed the bytes that were received with the end of the answer.
+            if (search.mayContain()) queueMicrotask(end);
+            else end();
           },
           onResponseError: (controller, error) => {
             if (this.activeListener !== listener) return;
             const { code } = error as Error & { code?: string };
-            const isGarbled =
-              code?.startsWith('HPE_') === true || code === 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
+            // undici expects the body of which a 304 states the length; it has closed the connection.
+            if (isNotModified && code === LENGTH_MISMATCH_CODE) {
+              this.isClosed = true;
+              this.endRequest(listener, true);
+              return;
+            }
+            const isGarbled = code?.startsWith('HPE_') === true || code === LENGTH_MISMATCH_CODE;
             fail(isGarbled ? 'garbled' : 'broken', error.message);
           },
         },
@@ -165,6 +182,12 @@
     listener?.onError({ kind: 'aborted', message: 'given up by this host' });
   }
 
+  // Bytes behind a complete answer belong to none, and do not make it incomplete.
+  private hasSurplus(): boolean {
+    const error: NodeJS.ErrnoException | null | undefined = this.socket?.errored;
+    return error !== null && error !== undefined && error.code !== LOCAL_CLOSE_CODE;
+  }
+
   private endRequest(listener: ExchangeListener, isFramed: boolean): void {
     this.activeListener = null;
     this.lastUsedAt = this.clock.now();
