Keep a gateway waiting for ports that another process holds

openPort tries again until the port is open or a stop signal comes, with one line when it begins to wait and one when it is over (1409, 1410). The last line (1402) has the code.

--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -10,5 +10,11 @@
   stopping: { number: 1406, level: 'info', message: 'gateway stopping' },
   callsInterrupted: { number: 1407, level: 'error', message: 'calls interrupted by the stop' },
   metricsFailed: { number: 1408, level: 'warn', message: 'metrics could not be sent' },
+  portInUse: {
+    number: 1409,
+    level: 'warn',
+    message: 'waiting for a port that could not be opened',
+  },
+  portOpened: { number: 1410, level: 'info', message: 'port opened after a wait' },
   startFailed: { number: 1403, level: 'error', message: 'gateway failed to start' },
 });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -45,6 +45,8 @@
   readonly requestLimits?: RequestLimits;
   /** Reads the state of released targets from routing; absent for a fleet without handover. */
   readonly handover?: RouterHandover;
+  /** Aborted by a stop, which ends the wait for ports; when absent, a port in use is an error. */
+  readonly signal?: AbortSignal;
 }
 
 /** A running gateway. */
@@ -154,9 +156,11 @@
     runEvery(parts.clock, METRICS_FLUSH_INTERVAL_MS, () => context.metrics.flush()),
   );
   const { address } = settings;
-  const relayPort = await listen(relay.server, address, settings['relay-port'], lifecycle);
+  const { clock, events, signal } = parts;
+  const wait = signal === undefined ? undefined : { clock, events, signal };
+  const relayPort = await listen(relay.server, address, settings['relay-port'], lifecycle, wait);
   const callerPort = relayPort.ok
-    ? await listen(callers.server, address, settings['caller-port'], lifecycle)
+    ? await listen(callers.server, address, settings['caller-port'], lifecycle, wait)
     : relayPort;
   if (callerPort.err || relayPort.err) {
     await lifecycle.close();
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -55,8 +55,10 @@
     return signals.first.aborted ? 0 : EXIT_FAILURE;
   }
   const { dispatcher, fleet, transport } = openedFleet.val;
-  const gateway = await startGateway(settings, { ...parts, handover, decisions, fleet, transport });
+  const dependencies = { ...parts, handover, decisions, fleet, transport, signal: signals.first };
+  const gateway = await startGateway(settings, dependencies);
   if (gateway.err) {
+    if (signals.first.aborted) return 0;
     events.emit(GATEWAY_EVENTS.startFailed, { ...gateway.val });
     return EXIT_FAILURE;
   }
@@ -82,7 +84,7 @@
   const decisions = new DecisionLog(writer, 'limpetknot-gateway', hostId, () => new Date());
   const exitCode = await joinAndServe(settings, parts, decisions);
   await lifecycle.close();
-  events.emit(GATEWAY_EVENTS.stopped);
+  events.emit(GATEWAY_EVENTS.stopped, { code: exitCode });
   return exitCode;
 }
 
--- a/src/gateway/openFleet.ts
+++ b/src/gateway/openFleet.ts
@@ -11,9 +11,12 @@
 import { type Clock, type Random } from '../runtime';
 import { type GatewaySettings } from '../settings';
 
+import { openPort, tryPort } from './openPort';
 import { type RouterHandover } from './routerHandover';
 import { findStartSheet } from './startSheet';
 
+const PORTS_OF_MEMBERS = ['caller-port', 'relay-port', 'operator-port'] as const;
+
 /** Dependencies of the fleet of a gateway process. */
 export interface FleetParts {
   readonly clock: Clock;
@@ -34,8 +37,8 @@
 }
 
 /**
- * Opens the peer port, finds an initial sheet and joins the fleet; the host becomes ready later.
- * The error states why the port could not be opened, or that `signal` was aborted first.
+ * Opens the peer port, finds an initial sheet and joins the fleet once the other ports are free; the host
+ * becomes ready later. The error states what it waited for when `signal` was aborted.
  */
 export async function openFleet(
   settings: GatewaySettings,
@@ -48,7 +51,11 @@
   const secret = settings['peer-secret'];
   const transport = new GrpcTransport({ ...parts, hostId, incarnation, secret });
   lifecycle.own('peer transport', () => transport.close());
-  const port = await transport.listen(settings.address, settings['peer-port']);
+  const { address } = settings;
+  const wait = { clock, events, signal };
+  const port = await openPort(wait, 'peer-port', () =>
+    transport.listen(address, settings['peer-port']),
+  );
   if (port.err) return port;
   const dispatcher = new Agent();
   lifecycle.own('configuration connections', () => dispatcher.close());
@@ -56,6 +63,11 @@
   const startSheetParts = { settings, transport, sheets, clock, events, dispatcher };
   const startSheet = await findStartSheet(startSheetParts, signal);
   if (startSheet === null) return Err('stopped before a sheet was found');
+  // A member whose other ports are taken would own targets that no host can reach through it.
+  const free = await Promise.all(
+    PORTS_OF_MEMBERS.map((name) => openPort(wait, name, () => tryPort(address, settings[name]))),
+  );
+  if (signal.aborted || free.some((tried) => tried.err)) return Err('stopped before it joined');
   const fleet = new ReplicatedFleet({
     hostId,
     zone: settings.zone,
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -18,7 +18,6 @@
 const READY_POLL_INTERVAL_MS = 50;
 // A host without a majority cannot leave the fleet; the others remove it when it stops responding.
 const LEAVE_TIMEOUT_MS = 5000;
-const EXIT_FAILURE = 1;
 
 async function waitUntilReady(
   fleet: ReplicatedFleet,
@@ -66,12 +65,7 @@
   startProbing(running);
   const board = startWarnings(running, watcher);
   const { first, second } = signals;
-  const operators = await startOperators(running, watcher, board, () => first.aborted);
-  if (operators.err) {
-    events.emit(GATEWAY_EVENTS.startFailed, { ...operators.val });
-    await running.gateway.close();
-    return EXIT_FAILURE;
-  }
+  await startOperators(running, watcher, board, first);
   if (await waitUntilReady(fleet, clock, first)) {
     startConfigurationWatcher(watcher, running);
     events.emit(GATEWAY_EVENTS.ready, { epoch: fleet.view()?.record.epoch });
--- a/src/gateway/startOperators.ts
+++ b/src/gateway/startOperators.ts
@@ -9,12 +9,12 @@
 import { type RunningGateway } from './runningGateway';
 import { VERSION } from './version';
 
-/** Opens the operators' port. */
+/** Opens the operators' port; the error is that of the last attempt before a stop. */
 export function startOperators(
   running: RunningGateway,
   watcher: ConfigurationWatcher,
   board: WarningBoard,
-  isStopping: () => boolean,
+  stopSignal: AbortSignal,
 ): Promise<Result<number, ListenError>> {
   const { clock, events, fleet, gateway, lifecycle, settings } = running;
   const status: StatusSource = {
@@ -31,7 +31,8 @@
     events,
     fleet,
     status,
-    isStopping,
+    isStopping: () => stopSignal.aborted,
   });
-  return listen(server, settings.address, settings['operator-port'], lifecycle);
+  const wait = { clock, events, signal: stopSignal };
+  return listen(server, settings.address, settings['operator-port'], lifecycle, wait);
 }
--- a/src/peer/peerServer.ts
+++ b/src/peer/peerServer.ts
@@ -40,7 +40,7 @@
 
 /** Serves control calls of authenticated peers. */
 export class PeerServer {
-  private readonly server = new Server();
+  private server: Server;
 
   private readonly handlers = new Map<PeerMethod, (request: never) => unknown>();
 
@@ -52,15 +52,7 @@
     private readonly metrics: MetricsSink,
     private readonly onHeartbeatStream: (stream: HeartbeatStream) => void,
   ) {
-    const unary = UNARY_METHODS.map((method) => [method, this.createUnaryHandler(method)] as const);
-    const implementation: UntypedServiceImplementation = {
-      ...Object.fromEntries(unary),
-      beats: (stream: HeartbeatStream) => this.handleHeartbeatStream(stream),
-      fetchSheet: (stream: ServerWritableStream<FetchSheetRequest, SheetChunk>) => {
-        void this.streamSheet(stream);
-      },
-    };
-    this.server.addService(PeerService, implementation);
+    this.server = this.createServer();
   }
 
   /** Registers the handler of `method`; it replaces an earlier one. */
@@ -72,14 +64,23 @@
     this.sheetHandler = handler;
   }
 
-  /** Starts listening and returns the port. */
+  /** Starts listening and returns the port. After an error it can be called again. */
   listen(address: string, port: number): Promise<Result<number, string>> {
     const host = address.includes(':') ? `[${address}]` : address;
     return new Promise((resolve) => {
       this.server.bindAsync(
         `${host}:${port}`,
         ServerCredentials.createInsecure(),
-        (error, boundPort) => resolve(error === null ? Ok(boundPort) : Err(error.message)),
+        (error, boundPort) => {
+          if (error === null) {
+            resolve(Ok(boundPort));
+            return;
+          }
+          // A server of grpc-js repeats the first error for the same port.
+          this.server.forceShutdown();
+          this.server = this.createServer();
+          resolve(Err(error.message));
+        },
       );
     });
   }
@@ -88,6 +89,20 @@
     this.server.forceShutdown();
   }
 
+  private createServer(): Server {
+    const unary = UNARY_METHODS.map((method) => [method, this.createUnaryHandler(method)] as const);
+    const implementation: UntypedServiceImplementation = {
+      ...Object.fromEntries(unary),
+      beats: (stream: HeartbeatStream) => this.handleHeartbeatStream(stream),
+      fetchSheet: (stream: ServerWritableStream<FetchSheetRequest, SheetChunk>) => {
+        void this.streamSheet(stream);
+      },
+    };
+    const server = new Server();
+    server.addService(PeerService, implementation);
+    return server;
+  }
+
   private checkAuthentication(metadata: Metadata, peer: string): string | null {
     const refusal = refusalReason(metadata, this.secret);
     if (refusal === null) return null;
