--- a/test/balancer/heldAddresses.test.ts
+++ b/test/balancer/heldAddresses.test.ts
@@ -1,6 +1,8 @@
 import { createSocket } from 'node:dgram';
 import { createServer } from 'node:http';
 
+import { request } from 'undici';
+
 import { freePort } from '../../standins';
 import { BalancerProcess } from '../support/balancerProcess';
 import { TestPlatform } from '../support/testPlatform';
@@ -79,6 +81,14 @@
         ...{ setting, readiness: READINESS_WHILE_HELD[setting], waits: [setting], opened: 0 },
       })),
     );
+    const control = `http://${hosts[0]!.balancer.settings['control-address']}`;
+    const status = await request(`${control}/status`);
+    expect(await status.body.json()).toMatchObject({
+      isReady: false,
+      waitingFor: ['caller-address'],
+    });
+    const metrics = await request(`${control}/metrics`);
+    expect(await metrics.body.text()).toContain('balancer_addresses_awaited 1');
     for (const host of hosts) host.release();
     await Promise.all(hosts.map(({ balancer }) => balancer.untilReady()));
     const isOpen = ({ balancer }: BlockedHost) => balancer.logged(2317).length === 1;
