Log the error that ends a gateway

An error that nothing caught ended a gateway with a stack on standard error and no line of its log. Event 1411 is now the last line, with reason and code; the end itself is unchanged, since what is left of the gateway can't be known.

test/gatewayStart: the two new cases failed before, 2 of 2, and pass after; all 10 pass.

--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -16,5 +16,6 @@
     message: 'waiting for a port that could not be opened',
   },
   portOpened: { number: 1410, level: 'info', message: 'port opened after a wait' },
+  failed: { number: 1411, level: 'error', message: 'gateway ends because of an unexpected error' },
   startFailed: { number: 1403, level: 'error', message: 'gateway failed to start' },
 });
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -1,5 +1,6 @@
 import { createWriteStream } from 'node:fs';
 import { Writable } from 'node:stream';
+import { inspect } from 'node:util';
 
 import { Lifecycle } from '../lifecycle';
 import { BufferedWriter, createLogger, DecisionLog, EventLog } from '../logging';
@@ -69,6 +70,10 @@
 async function runGateway(settings: GatewaySettings): Promise<number> {
   const hostId = settings['host-id'];
   const events = new EventLog(createLogger('limpetknot-gateway', hostId, settings['log-level']));
+  // Only logs: Node.js ends the process with code 1 afterwards.
+  process.on('uncaughtExceptionMonitor', (error: unknown) =>
+    events.emit(GATEWAY_EVENTS.failed, { reason: inspect(error), code: EXIT_FAILURE }),
+  );
   const lifecycle = new Lifecycle();
   const writer = new BufferedWriter(openDecisionOutput(settings['decision-log']));
   lifecycle.own('decision log', () => writer.close());
--- a/test/gatewayStart.test.ts
+++ b/test/gatewayStart.test.ts
@@ -83,3 +83,28 @@
   },
   40_000,
 );
+
+// Guards against a gateway that ends without a line of its log that says why.
+test.each(['throw null', 'Promise.reject(new Error("null"))'])(
+  'a gateway logs the error that ends it: %s',
+  async (failure) => {
+    const flags = ['--host-id', 'host-1', '--zone', 'zone-1', '--peer-port', '0'];
+    const urls = [
+      '--configuration-url',
+      'http://127.0.0.1:1',
+      '--host-list-url',
+      'http://127.0.0.1:1',
+    ];
+    const secret = ['--peer-secret', 'a-secret-for-tests-only'];
+    const main = JSON.stringify(join(__dirname, '..', 'dist', 'src', 'gateway'));
+    const program = `require(${main}).main(process.argv.slice(1)); setTimeout(() => { ${failure}; }, 100)`;
+    const child = spawn(process.execPath, ['-e', program, '--', ...flags, ...urls, ...secret]);
+    let output = '';
+    child.stdout.on('data', (chunk: Buffer) => {
+      output += chunk.toString();
+    });
+    expect(await once(child, 'close')).toEqual([1, null]);
+    const last = JSON.parse(output.trim().split('\n').at(-1)!) as object;
+    expect(last).toMatchObject({ event: 1411, code: 1, reason: expect.stringContaining('null') });
+  },
+);
