--- a/src/delivery/index.ts
+++ b/src/delivery/index.ts
@@ -18,3 +18,4 @@
 export { type ProbeParts } from './probeTask';
 export { WeightedRoundRobin } from './weightedRoundRobin';
 export { DELIVERY_EVENTS } from './events';
+export { guardSocket } from './guardSocket';
--- /dev/null
+++ b/test/cutTargetAnswers.test.ts
@@ -0,0 +1,98 @@
+import { Ok } from 'ts-results';
+
+import { Cancellation } from '../src/forwarding/cancellation';
+import { ConnectionPools } from '../src/forwarding/connectionPools';
+import { type BodyEnd } from '../src/forwarding/transmission';
+import { transmit } from '../src/forwarding/transmit';
+import { SystemClock } from '../src/runtime';
+import { SAMPLE_ANSWERS } from './support/cutAnswers';
+import { ScriptedServer } from './support/scriptedServer';
+
+const TIME_LIMIT_MS = 1000;
+
+describe('an answer of a target of the gateway that breaks off or is damaged', () => {
+  const clock = new SystemClock();
+
+  let target: ScriptedServer;
+
+  let pools: ConnectionPools;
+
+  let port = 0;
+
+  beforeEach(async () => {
+    target = new ScriptedServer('t-1');
+    port = Number((await target.listen()).split(':')[1]);
+    pools = new ConnectionPools();
+  });
+
+  afterEach(async () => {
+    target.close();
+    await pools.close();
+  });
+
+  /** Status, body and end of the answer, or the kind of failure. The body is read after `waitMs`. */
+  async function receive(method: string, waitMs = 0): Promise<readonly unknown[]> {
+    const hasBody = method === 'POST';
+    const head = await transmit(
+      pools.poolFor('127.0.0.1', port, null),
+      {
+        ...{ method, path: '/x', headers: {}, cancellation: new Cancellation() },
+        body: hasBody ? { kind: 'buffered', bytes: Buffer.from('b') } : { kind: 'none' },
+        deadline: clock.now() + TIME_LIMIT_MS,
+        checkBeforeSend: () => Ok.EMPTY,
+      },
+      clock,
+    );
+    if (head.err) return [head.val.kind];
+    await new Promise((resolve) => {
+      setTimeout(resolve, waitMs);
+    });
+    const chunks: Buffer[] = [];
+    const end = await new Promise<BodyEnd>((resolve) => {
+      head.val.streamTo({ data: (chunk) => chunks.push(chunk) > 0, end: resolve });
+    });
+    return [head.val.status, Buffer.concat(chunks).toString('latin1'), end];
+  }
+
+  // Guards against passing on half of an answer as a complete success, and against the loss of a
+  // complete one.
+  it.each(Object.entries(SAMPLE_ANSWERS).filter(([name]) => !name.startsWith('304 with')))(
+    'is never whole: %s',
+    async (_, sample) => {
+      const text = sample.text('0000');
+      const wrong: unknown[] = [];
+      let calls = 0;
+      for (const ending of ['end', 'reset'] as const) {
+        for (let length = 0; length <= text.length; length += 1) {
+          target.onCall = ({ socket }) => {
+            const sent = text.slice(0, length);
+            if (ending === 'end') socket.end(sent);
+            else if (sent === '') socket.resetAndDestroy();
+            else socket.write(sent, () => setTimeout(() => socket.resetAndDestroy(), 2));
+          };
+          const received = await receive(sample.method);
+          calls += 1;
+          const isWhole = length === text.length && sample.endsWithConnection !== true;
+          const expected = isWhole ? [sample.status, sample.body, 'whole'] : ['lost'];
+          const seen = isWhole ? received : received.slice(-1);
+          if (JSON.stringify(seen) !== JSON.stringify(expected))
+            wrong.push([ending, length, received]);
+        }
+      }
+      expect(wrong).toEqual([]);
+      expect(target.received.length).toBe(calls);
+    },
+  );
+
+  // Guards against an error that nobody catches, which ends the process.
+  it.each(['end', 'reset'] as const)('may break off while nobody reads it: %s', async (ending) => {
+    for (const bytes of [64 * 1024 - 1, 64 * 1024, 64 * 1024 + 1, 68 * 1024]) {
+      target.onCall = ({ socket }) => {
+        const head = 'HTTP/1.1 200 x\r\nContent-Length: 1000000\r\nConnection: close\r\n\r\n';
+        socket.write(head + 'x'.repeat(bytes));
+        setTimeout(() => (ending === 'end' ? socket.end() : socket.resetAndDestroy()), 20);
+      };
+      expect((await receive('GET', 60)).slice(-1)).toEqual(['lost']);
+    }
+  });
+});
