Check the heads of answers at the gateway as at the balancer

The gateway had the same two faults: an answer in another transfer coding than chunked was passed on as whole, with the framing of its chunks as its body, and so was one with the head of another answer within a header. It also broke the connection of a caller instead of passing on a 304 that states a length. A head with such a fault now counts as a lost answer; a 304 is complete with its head. How a body is handed to undici has moved to a module of its own.

--- a/src/delivery/index.ts
+++ b/src/delivery/index.ts
@@ -19,3 +19,4 @@
 export { WeightedRoundRobin } from './weightedRoundRobin';
 export { DELIVERY_EVENTS } from './events';
 export { guardSocket } from './guardSocket';
+export { headFault } from './headFault';
--- a/src/forwarding/transmit.ts
+++ b/src/forwarding/transmit.ts
@@ -1,12 +1,13 @@
 import { type IncomingHttpHeaders } from 'node:http';
-import { type Readable } from 'node:stream';
 
 import { Err, Ok, type Result } from 'ts-results';
 import { type Dispatcher } from 'undici';
 
+import { headFault } from '../delivery';
 import { notRun, type NotRun } from '../outcomes';
 import { type Clock, type Timer } from '../runtime';
 
+import { dispatchBody } from './dispatchBody';
 import {
   type Answer,
   type BodyEnd,
@@ -26,7 +27,9 @@
   'UND_ERR_NOT_SUPPORTED',
 ]);
 
-const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+const NOT_MODIFIED = 304;
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, NOT_MODIFIED]);
+const LENGTH_MISMATCH_CODE = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
 
 /** Sends one request with undici and resolves with the answer when its head is received. */
 class TransmissionHandler implements Dispatcher.DispatchHandler {
@@ -45,6 +48,8 @@
   /** False for an answer that is delimited only by the close of its connection. */
   private isFramed = true;
 
+  private isNotModified = false;
+
   private sink: BodySink | null = null;
 
   private pendingChunks: Buffer[] = [];
@@ -86,9 +91,20 @@
     controller.abort(new Error('the call must not be sent'));
   }
 
-  onResponseStart(controller: Controller, status: number, headers: IncomingHttpHeaders): void {
+  onResponseStart(
+    controller: Controller,
+    status: number,
+    headers: IncomingHttpHeaders,
+    statusText?: string,
+  ): void {
     if (status < 200) return;
     this.controller = controller;
+    const fault = headFault(headers, statusText ?? '');
+    if (fault !== null) {
+      controller.abort(new Error(fault));
+      return;
+    }
+    this.isNotModified = status === NOT_MODIFIED;
     this.hasHead = true;
     this.isFramed =
       headers['content-length'] !== undefined ||
@@ -124,7 +140,10 @@
   onResponseError(_controller: Controller, error: Error): void {
     this.cleanUp();
     if (this.hasHead) {
-      this.finishBody(this.abortCause ?? 'lost');
+      // undici expects the body of which a 304 states the length.
+      const { code } = error as NodeJS.ErrnoException;
+      const isWhole = this.isNotModified && code === LENGTH_MISMATCH_CODE;
+      this.finishBody(isWhole ? 'whole' : (this.abortCause ?? 'lost'));
       return;
     }
     this.settle(Err(this.failureOf(error)));
@@ -202,14 +221,6 @@
   }
 }
 
-function bodyOf(transmission: Transmission): Dispatcher.DispatchOptions['body'] {
-  const { body } = transmission;
-  if (body.kind === 'none') return null;
-  if (body.kind === 'buffered') return body.bytes;
-  // undici accepts any async iterable, although its types do not include them.
-  return body.stream as unknown as Readable;
-}
-
 /** Sends one request; resolves when the response head is received or the request fails. */
 export function transmit(
   dispatcher: Dispatcher,
@@ -223,7 +234,7 @@
         method: transmission.method,
         path: transmission.path,
         headers: transmission.headers,
-        body: bodyOf(transmission),
+        body: dispatchBody(transmission.body),
         // The only time limit is the deadline of the call.
         headersTimeout: 0,
         bodyTimeout: 0,
--- a/test/cutTargetAnswers.test.ts
+++ b/test/cutTargetAnswers.test.ts
@@ -5,7 +5,7 @@
 import { type BodyEnd } from '../src/forwarding/transmission';
 import { transmit } from '../src/forwarding/transmit';
 import { SystemClock } from '../src/runtime';
-import { SAMPLE_ANSWERS } from './support/cutAnswers';
+import { DAMAGED_FRAMINGS, SAMPLE_ANSWERS } from './support/cutAnswers';
 import { ScriptedServer } from './support/scriptedServer';
 
 const TIME_LIMIT_MS = 1000;
@@ -56,33 +56,38 @@
 
   // Guards against passing on half of an answer as a complete success, and against the loss of a
   // complete one.
-  it.each(Object.entries(SAMPLE_ANSWERS).filter(([name]) => !name.startsWith('304 with')))(
-    'is never whole: %s',
-    async (_, sample) => {
-      const text = sample.text('0000');
-      const wrong: unknown[] = [];
-      let calls = 0;
-      for (const ending of ['end', 'reset'] as const) {
-        for (let length = 0; length <= text.length; length += 1) {
-          target.onCall = ({ socket }) => {
-            const sent = text.slice(0, length);
-            if (ending === 'end') socket.end(sent);
-            else if (sent === '') socket.resetAndDestroy();
-            else socket.write(sent, () => setTimeout(() => socket.resetAndDestroy(), 2));
-          };
-          const received = await receive(sample.method);
-          calls += 1;
-          const isWhole = length === text.length && sample.endsWithConnection !== true;
-          const expected = isWhole ? [sample.status, sample.body, 'whole'] : ['lost'];
-          const seen = isWhole ? received : received.slice(-1);
-          if (JSON.stringify(seen) !== JSON.stringify(expected))
-            wrong.push([ending, length, received]);
-        }
+  it.each(Object.entries(SAMPLE_ANSWERS))('is never whole: %s', async (_, sample) => {
+    const text = sample.text('0000');
+    const wrong: unknown[] = [];
+    let calls = 0;
+    for (const ending of ['end', 'reset'] as const) {
+      for (let length = 0; length <= text.length; length += 1) {
+        target.onCall = ({ socket }) => {
+          const sent = text.slice(0, length);
+          if (ending === 'end') socket.end(sent);
+          else if (sent === '') socket.resetAndDestroy();
+          else socket.write(sent, () => setTimeout(() => socket.resetAndDestroy(), 2));
+        };
+        const received = await receive(sample.method);
+        calls += 1;
+        const isWhole = length === text.length && sample.endsWithConnection !== true;
+        const expected = isWhole ? [sample.status, sample.body, 'whole'] : ['lost'];
+        const seen = isWhole ? received : received.slice(-1);
+        if (JSON.stringify(seen) !== JSON.stringify(expected))
+          wrong.push([ending, length, received]);
       }
-      expect(wrong).toEqual([]);
-      expect(target.received.length).toBe(calls);
-    },
-  );
+    }
+    expect(wrong).toEqual([]);
+    expect(target.received.length).toBe(calls);
+  });
+
+  // Guards against a success with the framing of its chunks as its body, or with an empty one, and
+  // against the head of one answer with the body of another.
+  it.each(Object.entries(DAMAGED_FRAMINGS))('is not taken for whole: %s', async (_, text) => {
+    target.onCall = ({ socket }) => socket.end(text);
+    for (const method of ['GET', 'HEAD', 'POST'])
+      expect([method, (await receive(method)).slice(-1)]).toEqual([method, ['lost']]);
+  });
 
   // Guards against an error that nobody catches, which ends the process.
   it.each(['end', 'reset'] as const)('may break off while nobody reads it: %s', async (ending) => {
--- a/test/support/cutAnswers.ts
+++ b/test/support/cutAnswers.ts
@@ -70,3 +70,19 @@
   },
   'no length, closing': sample('POST', [CLOSE], SAMPLE_BODY, { endsWithConnection: true }),
 };
+
+/** Answers whose heads do not say where their bodies end, or contain the head of another answer. */
+export const DAMAGED_FRAMINGS: Readonly<Record<string, string>> = Object.fromEntries(
+  Object.entries({
+    'half of a coding': ['Transfer-Encoding: chun'],
+    'no coding': ['Transfer-Encoding: identity'],
+    'an empty coding': ['Transfer-Encoding:'],
+    'another coding': ['Transfer-Encoding: chunked, gzip'],
+    'two lengths': [LENGTH, 'Content-Length: 2'],
+    'a length and chunks': [LENGTH, CHUNKED],
+    'another head in a header': ['Date: MonHTTP/1.1 500 x', LENGTH],
+  }).map(([name, lines]) => [
+    name,
+    `${['HTTP/1.1 200 x', ...lines].join('\r\n')}\r\n\r\n${SAMPLE_BODY}`,
+  ]),
+);
