--- a/test/support/rawCaller.ts
+++ b/test/support/rawCaller.ts
@@ -19,7 +19,9 @@
   private readonly socket: Socket;
 
   constructor(port: number, ip = '127.0.0.1') {
-    this.socket = connect(port, ip);
+    this.socket = connect({ port, host: ip, allowHalfOpen: true });
+    // Without a listener for the other side's end, this side would stay open.
+    this.socket.on('end', () => this.socket.end());
     this.socket.on('data', (chunk) => {
       this.text += chunk.toString('latin1');
     });
@@ -44,6 +46,11 @@
     this.socket.resume();
   }
 
+  /** Ends its own side of the connection and goes on reading. */
+  end(): void {
+    this.socket.end();
+  }
+
   /** Closes the connection without reading further answers. */
   leave(): void {
     this.socket.destroy();
