Bound the bytes that all calls hold together

Cause: each call was bounded, not their sum. Heads were bounded by 128 KB whatever the operator allows; a caller that did not read its answers kept them for ever.

- `MemoryAccount` counts bodies, answers until they are read, and 16 KB a call, against a quarter of the new setting memory-limit-mb (from limits.memory_mb).
Beyond it a call is refused at once with 503 "not run: noMemory" and Retry-After, which is true: it was not sent.
Answers of running calls are then passed on as they arrive.
- The connection of a caller that has not read its answer 500 ms after it stopped waiting is closed.
- A connection with 64 open calls is not read further; the limit of heads is the operator's plus 8 KB for the request line.

The bound of calls on one connection and that of heads have no test of their own: a test with 50 callers passed before as well and was not kept.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -4,6 +4,7 @@
 import {
   CallServer,
   CrashGuard,
+  MemoryAccount,
   Delivery,
   Placer,
   ProbeTable,
@@ -51,6 +52,9 @@
 
 // Period of work that no event triggers: assigning health checks, detecting lost targets, gauges.
 const TICK_MS = 100;
+const BYTES_PER_MEGABYTE = 1024 * 1024;
+// Calls hold at most this share of the memory; the heap with all else takes the rest.
+const CALL_MEMORY_SHARE = 1 / 4;
 // Each call needs a connection of its caller and one to a target; the rest is for health checks, other
 // hosts and files.
 const CALLER_DESCRIPTOR_SHARE = 0.45;
@@ -184,8 +188,12 @@
       },
       (target, at) => (this.targetStates.get(target)?.lostAt ?? Infinity) > at,
     );
+    const memory = new MemoryAccount(
+      settings['memory-limit-mb'] * BYTES_PER_MEGABYTE * CALL_MEMORY_SHARE,
+    );
     this.delivery = new Delivery({
       ...{
+        memory,
         clock,
         random,
         events,
@@ -215,6 +223,7 @@
     this.calls = new CallServer({
       ...{ clock, random, events, protocol, catalog, context: this.delivery },
       observer: { onEnd: (call, end, elapsedMs) => this.countCall(call, end, elapsedMs) },
+      memory,
       maxConnections: Math.floor(settings['descriptor-limit'] * CALLER_DESCRIPTOR_SHARE),
     });
   }
--- a/src/delivery/attempt.ts
+++ b/src/delivery/attempt.ts
@@ -15,6 +15,7 @@
 import { type ConnectionError } from './connectionError';
 import { type ExchangeListener } from './exchangeListener';
 import { type IncomingCall } from './incomingCall';
+import { type MemoryShare } from './memoryShare';
 import { type OutgoingRequest } from './outgoingRequest';
 import { type RunningAttempt } from './runningAttempt';
 import { type TargetConnection } from './targetConnection';
@@ -53,6 +54,8 @@
     private readonly connections: TargetConnections,
     private readonly clock: Clock,
     private readonly observer: AttemptObserver,
+    /** Counts the bytes of the answer until the attempt has ended. */
+    private readonly memory: MemoryShare,
   ) {
     this.connection = connections.acquire();
   }
@@ -80,8 +83,10 @@
   onData(chunk: Buffer): boolean {
     if (this.output !== null) return this.output.write(chunk);
     this.body.append(chunk);
-    if (this.body.length() <= MAX_BUFFERED_ANSWER_BYTES || this.hasEnded)
-      return this.body.length() <= MAX_BUFFERED_ANSWER_BYTES;
+    if (this.hasEnded) return false;
+    // Without room for it, the answer is passed on as it arrives, like one that is too long.
+    const hasRoom = this.memory.tryGrow(chunk.length);
+    if (hasRoom && this.body.length() <= MAX_BUFFERED_ANSWER_BYTES) return true;
     const { end } = this.classify();
     if (end === 'answered' && this.isFramed)
       this.finish({ end, answer: this.receivedAnswer(this.openRest()), error: null, message: '' });
@@ -143,6 +148,7 @@
 
   private finish(result: AttemptResult): void {
     this.hasEnded = true;
+    this.memory.release();
     this.observer.onEnd(this, result);
   }
 
--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -15,6 +15,8 @@
 import { type DeliveryContext } from './deliveryContext';
 import { discardBody } from './discardBody';
 import { DELIVERY_EVENTS } from './events';
+import { type MemoryAccount } from './memoryAccount';
+import { type MemoryShare } from './memoryShare';
 import { type IncomingCall } from './incomingCall';
 import { type RoutedCall, readCall } from './readCall';
 import { WeightedRoundRobin } from './weightedRoundRobin';
@@ -22,6 +24,8 @@
 // Upper bound of the header sizes that a configuration may allow: the limit of the Node.js parser is
 // fixed when the server is created.
 const MAX_HEADER_BYTES = 128 * 1024;
+// Allowed for the request line, beside the headers.
+const REQUEST_LINE_BYTES = 8 * 1024;
 // Remaining time assumed for a refused caller that states no timeout.
 const DEFAULT_TIMEOUT_MS = 1000;
 
@@ -29,8 +33,24 @@
 // during that time would retry later than that and lose one of its attempts.
 const CONFIGURATION_WAIT_MS = 250;
 
+// Memory that a call without bodies takes.
+const CALL_BYTES = 16 * 1024;
+
+// An answer that its caller does not read is dropped this long after the caller stopped waiting.
+const UNREAD_ANSWER_GRACE_MS = 500;
+
 const TURNED_AWAY_LOG_INTERVAL_MS = 1000;
 
+function bytesOf(chunks: readonly Buffer[]): number {
+  return chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+}
+
+interface Arrival {
+  readonly id: string;
+  readonly arrivedAt: number;
+  readonly memory: MemoryShare;
+}
+
 /** Observes the end of each call. */
 export interface CallObserver {
   onEnd(call: IncomingCall | null, end: CallEnd, elapsedMs: number): void;
@@ -47,6 +67,8 @@
   readonly observer: CallObserver;
   /** Upper bound of the open connections of callers. */
   readonly maxConnections: number;
+  /** Bounds the bytes that calls hold until their answers are read. */
+  readonly memory: MemoryAccount;
 }
 
 /** HTTP server for callers; runs one task per call. */
@@ -88,6 +110,9 @@
     if (limits === undefined) return;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
     this.server.headersTimeout = limits.headerTimeoutMs;
+    // Read by Node.js for each new connection.
+    const maxHeaderSize = Math.min(MAX_HEADER_BYTES, limits.headerBytes + REQUEST_LINE_BYTES);
+    Object.assign(this.server, { maxHeaderSize });
     this.serviceChoice.clear();
     for (const resume of this.awaitingConfiguration) resume();
   }
@@ -146,7 +171,8 @@
     this.runningCalls += 1;
     const arrivedAt = this.parts.clock.now();
     const { protocol, observer, clock } = this.parts;
-    const earlierCallsEnded = connection.begin(response);
+    const memory = this.parts.memory.open();
+    const earlierCallsEnded = connection.begin(response, () => memory.release());
     // Further calls on the connection need it after this answer.
     const mustClose = () => this.isStopping() && connection.hasOneOpenCall();
     const answer = new CallerAnswer(response, protocol, mustClose);
@@ -155,13 +181,15 @@
     const header = request.headers[protocol.callIdHeader];
     const id = typeof header === 'string' ? header : '';
     try {
-      const { call, end } = await this.handle(request, response, id, arrivedAt);
+      const { call, end } = await this.handle(request, response, { id, arrivedAt, memory });
+      if (end.kind === 'answer') memory.grow(bytesOf(end.answer.chunks));
       observer.onEnd(call, end, clock.now() - arrivedAt);
       this.logEnd(id, call, end, clock.now() - arrivedAt);
       await earlierCallsEnded;
       if (end.kind === 'own' && answer.isOpen()) answer.respond(end.own, id);
       if (end.kind === 'answer' && answer.isOpen()) await answer.forward(end.answer);
       else if (end.kind === 'answer') end.answer.rest?.cancel();
+      this.limitAnswerTime(response, call);
       if (!request.complete) discardBody(request, this.maxBodyBytes());
     } catch (error) {
       this.parts.events.emit(DELIVERY_EVENTS.unexpected, { call: id, reason: String(error) });
@@ -182,13 +210,16 @@
   private async handle(
     request: IncomingMessage,
     response: ServerResponse,
-    id: string,
-    arrivedAt: number,
+    { id, arrivedAt, memory }: Arrival,
   ): Promise<{ call: IncomingCall | null; end: CallEnd }> {
+    if (!memory.tryGrow(CALL_BYTES))
+      return { call: null, end: { kind: 'own', own: this.refuse('noMemory', request) } };
     await this.waitForConfiguration(arrivedAt + CONFIGURATION_WAIT_MS);
     const routed = this.routeCall(request, id, arrivedAt);
     if ('kind' in routed) return { call: null, end: { kind: 'own', own: routed } };
-    const call = await readCall(request, routed, this.parts.protocol);
+    const call = await readCall(request, routed, this.parts.protocol, memory);
+    if (call === 'noMemory')
+      return { call: null, end: { kind: 'own', own: this.refuse('noMemory', request) } };
     if (call === null) return { call: null, end: { kind: 'callerLeft' } };
     if ('detail' in call)
       return { call: null, end: { kind: 'own', own: { kind: 'rejected', ...call } } };
@@ -202,6 +233,19 @@
     return { call, end };
   }
 
+  /** Closes the connection when its caller has not read the answer by the time it stops waiting. */
+  private limitAnswerTime(response: ServerResponse, call: IncomingCall | null): void {
+    if (response.writableFinished || response.destroyed) return;
+    const now = this.parts.clock.now();
+    const usualDeadline = now + (call?.route.timeLimitMs ?? DEFAULT_TIMEOUT_MS);
+    const callerDeadline = call?.callerDeadline ?? Infinity;
+    const deadline = Number.isFinite(callerDeadline) ? callerDeadline : usualDeadline;
+    const { socket } = response.req;
+    const dropAt = Math.max(now, deadline) + UNREAD_ANSWER_GRACE_MS;
+    const timer = this.parts.clock.setTimer(dropAt, () => socket.destroy());
+    response.once('close', () => timer.cancel());
+  }
+
   private async waitForConfiguration(deadline: number): Promise<void> {
     const { catalog, clock } = this.parts;
     if (catalog().configuration !== null) return;
@@ -235,7 +279,7 @@
   }
 
   private refuse(
-    reason: 'noConfiguration' | 'noTarget' | 'stopping',
+    reason: 'noConfiguration' | 'noMemory' | 'noTarget' | 'stopping',
     request: IncomingMessage,
   ): OwnAnswer {
     const statedTimeoutMs = Number(request.headers[this.parts.protocol.timeoutHeader]);
--- a/src/delivery/callerConnection.ts
+++ b/src/delivery/callerConnection.ts
@@ -5,6 +5,8 @@
 
 // A caller that has read its last answer closes the connection; one that does not is disconnected.
 const LINGER_MS = 500;
+// Calls sent behind others are not read while this many are open.
+const MAX_OPEN_CALLS = 64;
 
 /** The connection of a caller, with the calls on it that are not completely answered. */
 export class CallerConnection {
@@ -47,16 +49,22 @@
     if (!this.hasOpenCalls()) this.close();
   }
 
-  /** Adds a call; resolves when the earlier ones on the connection have ended. */
-  begin(response: ServerResponse): Promise<void> {
+  /**
+   * Adds a call, and runs `onEnd` when it is answered or the connection has closed; resolves when the
+   * earlier calls on the connection have ended.
+   */
+  begin(response: ServerResponse, onEnd: () => void): Promise<void> {
     const earlierCallsEnded = this.lastCallEnded;
     this.lastCallEnded = new Promise((resolve) => {
       const end = () => {
         if (!this.openCalls.delete(end)) return;
+        onEnd();
         resolve();
+        if (this.openCalls.size === MAX_OPEN_CALLS - 1) this.socket.resume();
         if (!this.mayReadCalls && !this.hasOpenCalls()) this.close();
       };
       this.openCalls.add(end);
+      if (this.openCalls.size >= MAX_OPEN_CALLS) this.socket.pause();
       response.once('close', end);
     });
     return earlierCallsEnded;
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -20,6 +20,7 @@
 import { type DeliveryContext } from './deliveryContext';
 import { DELIVERY_EVENTS } from './events';
 import { type IncomingCall } from './incomingCall';
+import { MemoryAccount } from './memoryAccount';
 import { type Placer } from './placer';
 import { type RunningAttempt } from './runningAttempt';
 
@@ -69,6 +70,8 @@
   readonly onReport: (report: TargetReport) => void;
   readonly onUnexpectedClose: (target: string) => void;
   readonly counters: DeliveryCounters;
+  /** Bounds the bytes of answers; by default they have no common bound. */
+  readonly memory?: MemoryAccount;
   /** Transmits a call to a target; by default over the connections of this host. */
   readonly transmit?: Transmit;
 }
@@ -120,6 +123,7 @@
       onUnexpectedClose: (target) => this.parts.onUnexpectedClose(target),
       onOpened: () => parts.counters.connection(),
     });
+    const memory = parts.memory ?? new MemoryAccount(Infinity);
     this.transmit =
       parts.transmit ??
       ((call, target, observer) =>
@@ -130,6 +134,7 @@
           this.connections.of(target),
           this.clock,
           observer,
+          memory.open(),
         ));
   }
 
--- a/src/delivery/index.ts
+++ b/src/delivery/index.ts
@@ -6,6 +6,7 @@
 export { type AttemptObserver } from './attemptObserver';
 export { type AttemptResult } from './attemptResult';
 export { Attempt } from './attempt';
+export { MemoryAccount } from './memoryAccount';
 export { TargetConnection } from './targetConnection';
 export { ConnectionTable } from './connectionTable';
 export { Placer, type PlacerParts } from './placer';
--- a/src/delivery/readCall.ts
+++ b/src/delivery/readCall.ts
@@ -6,6 +6,7 @@
 import { type CallProtocol } from './callProtocol';
 import { endToEndHeaders } from './endToEndHeaders';
 import { type IncomingCall } from './incomingCall';
+import { type MemoryShare } from './memoryShare';
 import { readCallBody } from './readCallBody';
 
 /** A request that is rejected because of its content. */
@@ -23,15 +24,20 @@
   readonly catalog: Catalog;
 }
 
-/** Reads the rest of a request; null when its caller disconnected before the end. */
+/**
+ * Reads the rest of a request; null when its caller disconnected before the end, `noMemory` when the
+ * calls of this host hold as many bytes as they may.
+ */
 export async function readCall(
   request: IncomingMessage,
   routed: RoutedCall,
   protocol: CallProtocol,
-): Promise<IncomingCall | RejectedRequest | null> {
+  memory: MemoryShare,
+): Promise<IncomingCall | RejectedRequest | 'noMemory' | null> {
   const { id, route, service, arrivedAt, deadline, callerDeadline, catalog } = routed;
-  const body = await readCallBody(request, catalog.configuration!.limits.bodyBytes);
+  const body = await readCallBody(request, catalog.configuration!.limits.bodyBytes, memory);
   if (body === 'left') return null;
+  if (body === 'noMemory') return body;
   if (body === 'tooLarge') return { status: 413, detail: 'the body is larger than allowed' };
   return {
     id,
--- a/src/delivery/readCallBody.ts
+++ b/src/delivery/readCallBody.ts
@@ -2,12 +2,16 @@
 import { Readable } from 'node:stream';
 
 import { ByteCollector } from './byteCollector';
+import { type MemoryShare } from './memoryShare';
 
 // Bodies up to this size are buffered, so that a call can be retried at another target.
 const MAX_BUFFERED_BODY_BYTES = 256 * 1024;
 
-/** `left`: the caller closed its connection; `tooLarge`: the body exceeds the limit. */
-export type CallBody = Buffer | Readable | null | 'left' | 'tooLarge';
+/**
+ * `left`: the caller closed its connection; `tooLarge`: the body exceeds the limit; `noMemory`: the
+ * calls of this host hold as many bytes as they may.
+ */
+export type CallBody = Buffer | Readable | null | 'left' | 'tooLarge' | 'noMemory';
 
 async function* concatenate(
   start: readonly Buffer[],
@@ -25,7 +29,11 @@
 }
 
 /** Reads a body of up to `limit` bytes: buffered when it is short, as a stream when it is long. */
-export async function readCallBody(request: IncomingMessage, limit: number): Promise<CallBody> {
+export async function readCallBody(
+  request: IncomingMessage,
+  limit: number,
+  memory: MemoryShare,
+): Promise<CallBody> {
   const { headers } = request;
   const declaredLength = headers['content-length'];
   if (declaredLength === undefined && headers['transfer-encoding'] === undefined) return null;
@@ -34,6 +42,7 @@
   const body = new ByteCollector();
   try {
     for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) {
+      if (!memory.tryGrow(next.value.length)) return 'noMemory';
       body.append(next.value);
       const size = body.length();
       if (size > limit) return 'tooLarge';
--- a/src/placement/refusalReason.ts
+++ b/src/placement/refusalReason.ts
@@ -10,6 +10,8 @@
   | 'overloaded'
   /** Targets with free slots refused to run it. */
   | 'refused'
+  /** The calls of this host hold as much memory as they may. */
+  | 'noMemory'
   | 'outOfTime'
   | 'crashes'
   | 'stopping';
--- a/src/placement/retryAfter.ts
+++ b/src/placement/retryAfter.ts
@@ -34,6 +34,8 @@
   overloaded: ({ workMs, rank }) => [workMs * (0.5 + 0.5 * rank), workMs * (1.5 + rank)],
   // Targets that refuse despite free slots may accept the next call; waiting would make it late.
   refused: () => [MIN_DELAY_MS, 2 * MIN_DELAY_MS],
+  // Calls that hold much memory end, or reach their deadline, within this time; another host has room.
+  noMemory: () => [100, 400],
   outOfTime: () => [MIN_DELAY_MS, 2 * MIN_DELAY_MS],
   crashes: ({ leftMs }) => [leftMs, leftMs],
   stopping: () => [MIN_DELAY_MS, 4 * MIN_DELAY_MS],
--- a/src/settings/balancerSettings.ts
+++ b/src/settings/balancerSettings.ts
@@ -113,6 +113,13 @@
     unit: 's',
     description: 'Window in which retries are counted.',
   },
+  'memory-limit-mb': {
+    schema: optionalNumber(350),
+    fallback: '',
+    unit: 'MB',
+    description:
+      'Memory that the process may use; calls hold at most a quarter of it. 350 if empty.',
+  },
   'descriptor-limit': {
     schema: optionalNumber(4096),
     fallback: '',
--- a/test/balancer/memoryBounds.test.ts
+++ b/test/balancer/memoryBounds.test.ts
@@ -43,7 +43,10 @@
     await platform.stop();
   });
 
-  async function start(onCall: (request: ScriptedRequest) => void): Promise<void> {
+  async function start(
+    onCall: (request: ScriptedRequest) => void,
+    memoryLimit = MEMORY_LIMIT_BYTES,
+  ): Promise<void> {
     for (let index = 0; index < 20; index += 1) {
       const server = new ScriptedServer(`i-${index}`);
       server.onCall = onCall;
@@ -51,6 +54,7 @@
       platform.register('reads', { id: server.id, slots: 64 }, await server.listen());
     }
     await balancer.prepare();
+    balancer.settings['memory-limit-mb'] = String(memoryLimit / MEBIBYTE);
     balancer.writeSettings();
     endOfProcess = balancer.launch(NODE_ARGUMENTS);
     await balancer.untilReady();
@@ -92,6 +96,40 @@
     await expectServing();
   }, 60_000);
 
+  // Guards against bodies that together exceed what the process may use, and against callers that are
+  // kept waiting or told less than that their call was not run.
+  it('is bounded when many callers send long bodies', async () => {
+    await start(() => {}, 80 * MEBIBYTE);
+    const body = 'x'.repeat(250_000);
+    const lines = [`Content-Length: ${body.length}`];
+    connectCallers(200, (id) => `${head('POST', id, ...lines)}${body}`);
+    expect(await watch(2)).toBeLessThan(MEMORY_LIMIT_BYTES);
+    const refused = callers.filter(({ text }) => /503[^]*not run: noMemory/.test(text));
+    expect(refused.length).toBeGreaterThan(100);
+    expect(refused.every(({ text }) => /^retry-after: \d/im.test(text))).toBe(true);
+    await expectServing();
+    await platform.sleep(1500);
+    const others = callers.filter((caller) => !refused.includes(caller));
+    expect(others.map((caller) => caller.statuses())).toEqual(others.map(() => ['504']));
+    expect((await platform.call('POST', '/good/x', { body })).status).toBe(200);
+  }, 60_000);
+
+  // Guards against answers that are held for ever.
+  it('is freed when a caller does not read its answers by the time it stops waiting', async () => {
+    const body = 'x'.repeat(250_000);
+    await start(({ socket, id }) => socket.write(answerText(id, body)));
+    const caller = new RawCaller(platform.callerPort);
+    callers.push(caller);
+    caller.pause();
+    for (let index = 0; index < 60; index += 1)
+      caller.write(head('GET', `r-${index}`).replace('4000', '1000'));
+    await watch(2);
+    caller.resume();
+    await caller.closed;
+    expect(caller.answeredIds().length).toBeLessThan(60);
+    await expectServing();
+  }, 60_000);
+
   it('is bounded when bodies of answers come in chunks of one byte', async () => {
     await start(({ socket, id }) => {
       const lines = ['Upstream-Signature: s.1', 'Transfer-Encoding: chunked'];
