--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -4,6 +4,7 @@
 import {
   CallServer,
   CrashGuard,
+  MemoryAccount,
   Delivery,
   Placer,
   ProbeTable,
@@ -50,6 +51,9 @@
 // are, so that its calls could break what the hosts keep together. The other addresses serve hosts and
 // operators, who have other hosts to ask.
 const ADDRESSES_OF_CALLS = ['caller-address', 'exchange-port'];
+const BYTES_PER_MEGABYTE = 1024 * 1024;
+// Calls hold at most this share of the memory; the heap with all else takes the rest.
+const CALL_MEMORY_SHARE = 1 / 4;
 // Each call needs a connection of its caller and one to a target; the rest is for health checks, other
 // hosts and files.
 const CALLER_DESCRIPTOR_SHARE = 0.45;
@@ -191,8 +195,12 @@
       },
       (target, at) => (this.targetStates.get(target)?.lostAt ?? Infinity) > at,
     );
+    const memory = new MemoryAccount(
+      settings['memory-limit-mb'] * BYTES_PER_MEGABYTE * CALL_MEMORY_SHARE,
+    );
     this.delivery = new Delivery({
       ...{
+        memory,
         clock,
         random,
         events,
@@ -223,6 +231,7 @@
     this.calls = new CallServer({
       ...{ clock, random, events, protocol, catalog, context: this.delivery },
       observer: { onEnd: (call, end, elapsedMs) => this.countCall(call, end, elapsedMs) },
+      memory,
       maxConnections: Math.floor(settings['descriptor-limit'] * CALLER_DESCRIPTOR_SHARE),
     });
   }
