Move the fleet of the soak with planned stops to a module

A second soak needs the same store, servers and hosts.

Servers record what reaches them, also what they refuse, and can add headers to their answers; the store can be slow.

--- /dev/null
+++ b/soak/balancers/index.ts
@@ -0,0 +1,1 @@
+export { SoakFleet, type SoakFleetOptions } from './soakFleet';
--- /dev/null
+++ b/standins/server/parseRequest.ts
@@ -0,0 +1,31 @@
+/** A request as a server stand-in received it. */
+export interface ServerRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: ReadonlyMap<string, string>;
+  readonly body: string;
+}
+
+/** Takes the first request from `buffered`; null while it is incomplete. */
+export function parseRequest(buffered: Buffer): { request: ServerRequest; rest: Buffer } | null {
+  const headEnd = buffered.indexOf('\r\n\r\n');
+  if (headEnd < 0) return null;
+  const [requestLine, ...headerLines] = buffered
+    .subarray(0, headEnd)
+    .toString('latin1')
+    .split('\r\n');
+  const [method, path] = requestLine!.split(' ');
+  const headers = new Map<string, string>();
+  for (const line of headerLines) {
+    const colon = line.indexOf(':');
+    headers.set(line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim());
+  }
+  const length = Number(headers.get('content-length') ?? 0);
+  const bodyStart = headEnd + 4;
+  if (buffered.length < bodyStart + length) return null;
+  const body = buffered.subarray(bodyStart, bodyStart + length).toString('utf8');
+  return {
+    request: { method: method!, path: path!, headers, body },
+    rest: buffered.subarray(bodyStart + length),
+  };
+}
--- a/standins/server/serverStandin.ts
+++ b/standins/server/serverStandin.ts
@@ -1,5 +1,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 
+import { parseRequest, type ServerRequest } from './parseRequest';
+
 /** How a server responds to the next requests; most modes violate the protocol in one way. */
 export type ServerMode =
   | 'well'
@@ -30,6 +32,16 @@
   readonly remainingMs: number;
 }
 
+/** A request that reached a server, whether it ran or not; health checks are no arrivals. */
+export interface Arrival {
+  readonly id: string;
+  /** Monotonic time in milliseconds. */
+  readonly at: number;
+  readonly outcome: 'ran' | 'refused' | 'other';
+  /** Headers that the server added to all its answers at that time. */
+  readonly extraHeaders: readonly string[];
+}
+
 /** Options of a server stand-in; times in milliseconds. */
 export interface ServerOptions {
   readonly id: string;
@@ -39,36 +51,6 @@
   readonly hasLoadHeader?: boolean;
 }
 
-interface Request {
-  readonly method: string;
-  readonly path: string;
-  readonly headers: ReadonlyMap<string, string>;
-  readonly body: string;
-}
-
-function parseRequest(buffered: Buffer): { request: Request; rest: Buffer } | null {
-  const headEnd = buffered.indexOf('\r\n\r\n');
-  if (headEnd < 0) return null;
-  const [requestLine, ...headerLines] = buffered
-    .subarray(0, headEnd)
-    .toString('latin1')
-    .split('\r\n');
-  const [method, path] = requestLine!.split(' ');
-  const headers = new Map<string, string>();
-  for (const line of headerLines) {
-    const colon = line.indexOf(':');
-    headers.set(line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim());
-  }
-  const length = Number(headers.get('content-length') ?? 0);
-  const bodyStart = headEnd + 4;
-  if (buffered.length < bodyStart + length) return null;
-  const body = buffered.subarray(bodyStart, bodyStart + length).toString('utf8');
-  return {
-    request: { method: method!, path: path!, headers, body },
-    rest: buffered.subarray(bodyStart + length),
-  };
-}
-
 /**
  * Stand-in for a server of the platform. It writes its HTTP protocol byte by byte to a plain
  * socket, so that it can also violate the protocol.
@@ -76,8 +58,13 @@
 export class ServerStandin {
   readonly runs: RunRecord[] = [];
 
+  readonly arrivals: Arrival[] = [];
+
   mode: ServerMode = 'well';
 
+  /** Header lines that are added to its answers, also to health checks. */
+  extraHeaders: readonly string[] = [];
+
   /** Service time in percent of the usual; `Upstream-Load` reports it. */
   pace = 100;
 
@@ -111,9 +98,9 @@
   }
 
   /** Listens on a loopback address; resolves to `IP:port`, which stays the same after a crash. */
-  listen(): Promise<string> {
+  listen(port = this.port): Promise<string> {
     return new Promise((resolve) => {
-      this.server.listen(this.port, '127.0.0.1', () => {
+      this.server.listen(port, '127.0.0.1', () => {
         this.port = (this.server.address() as { port: number }).port;
         resolve(`127.0.0.1:${this.port}`);
       });
@@ -141,7 +128,7 @@
     });
   }
 
-  private async serve(socket: Socket, request: Request): Promise<void> {
+  private async serve(socket: Socket, request: ServerRequest): Promise<void> {
     const { id } = this.options;
     if (request.path === '/healthz') {
       this.probeCount += 1;
@@ -157,12 +144,14 @@
     const callId = request.headers.get('request-id') ?? '';
     const expectedInstance = request.headers.get('expected-instance');
     if (this.mode === 'other' || (expectedInstance !== undefined && expectedInstance !== id)) {
+      this.recordArrival(callId, 'other');
       this.write(socket, 421, [`Request-Id: ${callId}`, 'Upstream-Instance: i-other'], '');
       return;
     }
     const isFull = this.running >= (this.options.slots ?? Infinity);
     if (this.mode === 'full' || (isFull && this.mode === 'well')) {
       const headers = [`Request-Id: ${callId}`, 'Not-Executed: 1', ...this.loadHeaders()];
+      this.recordArrival(callId, 'refused');
       this.write(socket, 503, headers, '');
       return;
     }
@@ -170,6 +159,7 @@
       socket.resetAndDestroy();
       return;
     }
+    this.recordArrival(callId, 'ran');
     this.runs.push({
       id: callId,
       method: request.method,
@@ -228,9 +218,14 @@
 
   private loadHeaders(): readonly string[] {
     const warmupHeaders = this.coldLeftMs > 0 ? [`Warmup-Remaining-Ms: ${this.coldLeftMs}`] : [];
-    if (this.options.hasLoadHeader === false) return warmupHeaders;
+    const others = [...this.extraHeaders, ...warmupHeaders];
+    if (this.options.hasLoadHeader === false) return others;
     const loadHeader = `Upstream-Load: ${this.running},0,${this.options.slots ?? 6},${this.pace}`;
-    return [loadHeader, ...warmupHeaders];
+    return [loadHeader, ...others];
+  }
+
+  private recordArrival(id: string, outcome: Arrival['outcome']): void {
+    this.arrivals.push({ id, at: performance.now(), outcome, extraHeaders: this.extraHeaders });
   }
 
   private write(socket: Socket, status: number, headers: readonly string[], body: string): void {
--- a/standins/store/storeStandin.ts
+++ b/standins/store/storeStandin.ts
@@ -44,12 +44,18 @@
   /** Changes the bytes of each reply; null sends them as they are. */
   mangle: ((reply: string) => string) | null = null;
 
+  /** Time before each request is handled, in milliseconds. */
+  delayMs = 0;
+
   /** While set, reads are answered with the items as of this moment. */
   private frozen: { readonly items: ReadonlyMap<string, Item>; readonly revision: number } | null =
     null;
 
   constructor() {
-    this.server = createServer((request, response) => this.handleRequest(request, response));
+    this.server = createServer((request, response) => {
+      if (this.delayMs === 0) this.handleRequest(request, response);
+      else setTimeout(() => this.handleRequest(request, response), this.delayMs);
+    });
   }
 
   /** Listens on a loopback address; resolves to `IP:port`. */
--- a/test/balancer/stopSoak.test.ts
+++ b/test/balancer/stopSoak.test.ts
@@ -1,7 +1,7 @@
+import { SoakFleet } from '../../soak/balancers';
 import { SeededRandom } from '../../src/runtime';
-import { BalancerProcess } from '../support/balancerProcess';
+import { type BalancerProcess } from '../support/balancerProcess';
 import { type CallerHabits, KeptCaller } from '../support/keptCaller';
-import { TestPlatform } from '../support/testPlatform';
 
 const SEEDS = (process.env.SEED ?? '1').split(',').map(Number);
 const HOSTS = Number(process.env.SOAK_HOSTS ?? 3);
@@ -20,59 +20,23 @@
   { batch: 2, waitsForAnswers: false, heedsClose: false, isIdempotent: true },
 ];
 
-const SERVICES = [
-  { prefix: '/book-slow/', service: 'book-slow', workMs: 300, isIdempotent: false },
-  { prefix: '/book-quick/', service: 'book-quick', workMs: 30, isIdempotent: false },
-  { prefix: '/read-slow/', service: 'read-slow', workMs: 200, isIdempotent: true },
-  { prefix: '/read-quick/', service: 'read-quick', workMs: 20, isIdempotent: true },
-];
-
 /** The processes of a soak run, which are stopped and started while callers use them. */
 class StoppedFleet {
-  readonly platform = new TestPlatform();
+  readonly fleet = new SoakFleet({
+    ...{ hosts: HOSTS, serversPerService: 2, zones: ['a'], command: null },
+    settings: { 'stop-grace-s': String(GRACE_S) },
+  });
 
   readonly exitCodes: (number | null)[] = [];
 
-  private readonly balancers: BalancerProcess[] = [];
-
   private isEnding = false;
 
-  private servers = 0;
-
   constructor(private readonly random: SeededRandom) {}
 
-  async start(): Promise<void> {
-    const { platform } = this;
-    this.publish(0);
-    for (const { service } of SERVICES)
-      for (let index = 0; index < 2; index += 1) await this.addServer(service);
-    const source = await platform.store.listen();
-    for (let index = 0; index < HOSTS; index += 1) {
-      const balancer = new BalancerProcess(platform);
-      await balancer.prepare(`127.0.0.${index + 2}`, source);
-      Object.assign(balancer.settings, {
-        'host-id': `host-${index}`,
-        'stop-grace-s': String(GRACE_S),
-        'exchange-port':
-          this.balancers[0]?.settings['exchange-port'] ?? balancer.settings['exchange-port'],
-        seeds: this.balancers[0]?.settings['control-address'] ?? '',
-      });
-      balancer.writeSettings();
-      this.balancers.push(balancer);
-    }
-  }
-
-  hosts(): readonly { readonly ip: string; readonly port: number }[] {
-    return this.balancers.map(({ settings }) => {
-      const [ip, port] = settings['caller-address']!.split(':');
-      return { ip: ip!, port: Number(port) };
-    });
-  }
-
   /** Runs and stops the processes until `end` is called. */
   async run(): Promise<void> {
     const changes = this.changeCatalog();
-    await Promise.all(this.balancers.map((balancer) => this.restart(balancer)));
+    await Promise.all(this.fleet.balancers.map((balancer) => this.restart(balancer)));
     await changes;
   }
 
@@ -80,42 +44,19 @@
     this.isEnding = true;
   }
 
-  async close(): Promise<void> {
-    for (const balancer of this.balancers) balancer.close();
-    await this.platform.stop();
-  }
-
-  private publish(extraRoutes: number): void {
-    const extra = Array.from({ length: extraRoutes }, (_, index) => ({
-      ...{ prefix: `/extra-${index}/`, service: 'read-slow', isIdempotent: true },
-    }));
-    this.platform.configure([
-      ...SERVICES.map((route) => ({ ...route, timeLimitMs: 2500 })),
-      ...extra,
-    ]);
-  }
-
-  private async addServer(service: string): Promise<void> {
-    const { workMs } = SERVICES.find((known) => known.service === service)!;
-    this.servers += 1;
-    await this.platform.addServer(service, { id: `i-${this.servers}`, workMs, slots: 100 });
-  }
-
   // A removed server goes on serving; a new one of its service takes its place.
   private async changeCatalog(): Promise<void> {
-    const { platform, random } = this;
+    const { fleet, random } = this;
     while (!this.isEnding) {
-      await platform.sleep(300 + random.integer(1500));
-      if (random.next() < 0.5) this.publish(random.integer(20));
-      else {
-        const { service } = SERVICES[random.integer(SERVICES.length)]!;
-        await this.addServer(service);
-      }
+      await fleet.platform.sleep(300 + random.integer(1500));
+      if (random.next() < 0.5) fleet.publish(random.integer(20));
+      else await fleet.addServer(fleet.pickService(random));
     }
   }
 
   private async restart(balancer: BalancerProcess): Promise<void> {
-    const { platform, random } = this;
+    const { random } = this;
+    const { platform } = this.fleet;
     while (!this.isEnding) {
       const exited = balancer.launch();
       await platform.sleep(EARLIEST_SIGNAL_MS + random.integer(3000));
@@ -133,7 +74,7 @@
   private async stopWithSeries(balancer: BalancerProcess): Promise<void> {
     balancer.child!.kill('SIGTERM');
     for (let count = this.random.integer(4); count > 0; count -= 1) {
-      await this.platform.sleep(this.random.integer(1000));
+      await this.fleet.platform.sleep(this.random.integer(1000));
       const signal = (['SIGTERM', 'SIGINT', 'SIGHUP'] as const)[this.random.integer(3)]!;
       if (balancer.child!.exitCode === null) balancer.child!.kill(signal);
     }
@@ -147,23 +88,25 @@
     'interrupt no call, seed %d',
     async (seed) => {
       const random = new SeededRandom(seed);
-      const fleet = new StoppedFleet(random);
+      const stopped = new StoppedFleet(random);
+      const { fleet } = stopped;
       try {
         await fleet.start();
-        const running = fleet.run();
+        const running = stopped.run();
         const callers = HABITS.flatMap((habits, habit) =>
           Array.from(
             { length: CALLERS_PER_HABIT },
-            (_, index) => new KeptCaller(`c${habit}-${index}`, habits, fleet.hosts(), random),
+            (_, index) =>
+              new KeptCaller(`c${habit}-${index}`, habits, fleet.callerAddresses(), random),
           ),
         );
         const calling = callers.map((caller) => caller.run());
         await fleet.platform.sleep(SOAK_MS);
         for (const caller of callers) caller.end();
         await Promise.all(calling);
-        fleet.end();
+        stopped.end();
         await running;
-        const answers = new Map(callers.flatMap((caller) => [...caller.answers]));
+        const answers = new Map(callers.flatMap((caller) => [...caller.statuses()]));
         const ran = [...fleet.platform.servers.values()].flatMap((server) => server.runs);
         const ids = ran.map(({ id }) => id);
         const bookings = ran.filter(({ method }) => method === 'POST').map(({ id }) => id);
@@ -171,9 +114,9 @@
         expect(ids.filter((id) => answers.get(id) === null)).toEqual([]);
         expect(ids.filter((id) => answers.get(id) === 503)).toEqual([]);
         expect(bookings.length).toBe(new Set(bookings).size);
-        expect(fleet.exitCodes.filter((code) => code !== 0)).toEqual([]);
+        expect(stopped.exitCodes.filter((code) => code !== 0)).toEqual([]);
       } finally {
-        fleet.end();
+        stopped.end();
         await fleet.close();
       }
     },
--- a/test/support/balancerProcess.ts
+++ b/test/support/balancerProcess.ts
@@ -1,4 +1,4 @@
-import { type ChildProcess, spawn } from 'node:child_process';
+import { type ChildProcessWithoutNullStreams, spawn } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -12,14 +12,19 @@
 
 /** A balancer in a process of its own, with its settings file, for a test. */
 export class BalancerProcess {
-  child: ChildProcess | null = null;
+  child: ChildProcessWithoutNullStreams | null = null;
 
   output = '';
 
   settings: Record<string, string> = {};
 
+  /** Arguments of Node.js: its options and the program. */
+  command: readonly string[] = [MAIN];
+
   private readonly folder = mkdtempSync(join(tmpdir(), 'balancer-'));
 
+  readonly settingsFile = join(this.folder, 'settings');
+
   constructor(private readonly platform: TestPlatform) {}
 
   /** Chooses free ports on `ip` and settings that fit the stand-ins of the platform. */
@@ -40,18 +45,28 @@
     };
   }
 
+  /** Content of the settings file. */
+  settingsText(): string {
+    const lines = Object.entries(this.settings).map(([name, value]) => `${name}=${value}`);
+    return `${lines.join('\n')}\n`;
+  }
+
   /** Writes the settings file. */
   writeSettings(): void {
-    const lines = Object.entries(this.settings).map(([name, value]) => `${name}=${value}`);
-    writeFileSync(join(this.folder, 'settings'), `${lines.join('\n')}\n`);
+    writeFileSync(this.settingsFile, this.settingsText());
+  }
+
+  /** Starts the process without reading its output. */
+  spawn(): ChildProcessWithoutNullStreams {
+    this.child = spawn(process.execPath, this.command, {
+      env: { PATH: process.env.PATH, LIMPETKNOT_NODE_FILE: this.settingsFile },
+    });
+    return this.child;
   }
 
   /** Starts the process; resolves to its exit code when it ends. */
   launch(): Promise<number | null> {
-    const child = spawn(process.execPath, [MAIN], {
-      env: { PATH: process.env.PATH, LIMPETKNOT_NODE_FILE: join(this.folder, 'settings') },
-    });
-    this.child = child;
+    const child = this.spawn();
     const appendOutput = (chunk: Buffer) => {
       this.output += chunk.toString('utf8');
     };
--- a/test/support/rawCaller.ts
+++ b/test/support/rawCaller.ts
@@ -8,10 +8,18 @@
 
   isClosed = false;
 
+  /** Monotonic time in milliseconds at which the connection was established; null before. */
+  openedAt: number | null = null;
+
+  /** Monotonic time in milliseconds at which the connection closed; null before. */
+  closedAt: number | null = null;
+
   private readonly socket: Socket;
 
   constructor(port: number, ip = '127.0.0.1') {
-    this.socket = connect(port, ip);
+    this.socket = connect(port, ip, () => {
+      this.openedAt = performance.now();
+    });
     this.socket.on('data', (chunk) => {
       this.text += chunk.toString('latin1');
     });
@@ -19,6 +27,7 @@
     this.closed = new Promise((resolve) => {
       this.socket.once('close', () => {
         this.isClosed = true;
+        this.closedAt = performance.now();
         resolve();
       });
     });
