--- a/soak/balancers/callRecords.ts
+++ b/soak/balancers/callRecords.ts
@@ -3,6 +3,9 @@
 
 import { type SoakHost } from './soakHost';
 
+/** A host as far as the checks need it. */
+export type CheckedHost = Pick<SoakHost, 'name' | 'history'>;
+
 /** An arrival at a server of a run. */
 export interface ServerArrival extends Arrival {
   readonly server: string;
@@ -13,5 +16,5 @@
 export interface CallRecords {
   readonly calls: readonly KeptCall[];
   readonly arrivals: readonly ServerArrival[];
-  readonly hosts: readonly SoakHost[];
+  readonly hosts: readonly CheckedHost[];
 }
--- a/soak/balancers/checkCalls.ts
+++ b/soak/balancers/checkCalls.ts
@@ -59,9 +59,9 @@
   for (const { id, outcome, server, service } of records.arrivals) {
     const ran = runners.get(id);
     if (ran === undefined) findings.add('UNASKED', `${id} reached ${server}`);
-    else if (outcome === 'ran') ran.push(server);
-    if (outcome === 'ran' && services.get(id) !== service)
-      findings.add('ROUTE', `${id} ran at ${server} of ${service}`);
+    if (ran === undefined || outcome !== 'ran') continue;
+    ran.push(server);
+    if (services.get(id) !== service) findings.add('ROUTE', `${id} ran at ${server} of ${service}`);
   }
   for (const call of records.calls) {
     const ran = runners.get(call.id)!;
--- a/soak/balancers/checkWishes.ts
+++ b/soak/balancers/checkWishes.ts
@@ -1,6 +1,5 @@
-import { type CallRecords, type ServerArrival } from './callRecords';
+import { type CallRecords, type CheckedHost, type ServerArrival } from './callRecords';
 import { type FindingLog } from './findingLog';
-import { type SoakHost } from './soakHost';
 
 const DRAIN_MS = 2000;
 // A host heeds a Retry-After from this time after it.
@@ -9,11 +8,11 @@
 
 /** An arrival with the host that passed the call on, and the time at which its caller sent it. */
 interface PassedOn extends ServerArrival {
-  readonly host: SoakHost;
+  readonly host: CheckedHost;
   readonly sentAt: number;
 }
 
-function wasDisrupted({ history }: SoakHost, from: number, to: number): boolean {
+function wasDisrupted({ history }: CheckedHost, from: number, to: number): boolean {
   return history.overlaps(['kill', 'freeze', 'stop'], from, to);
 }
 
