--- a/soak/balancers/readinessWatch.ts
+++ b/soak/balancers/readinessWatch.ts
@@ -5,6 +5,9 @@
 
 /** Checks that hosts become ready in time after a start or an obstacle, and stay ready. */
 export class ReadinessWatch {
+  /** Longest time from a start or the last obstacle until a process was ready, in milliseconds. */
+  slowestMs = 0;
+
   private isEnding = false;
 
   /** For each host, the value of `clearSince` for which it was reported. */
@@ -39,12 +42,13 @@
     if (life === null || !life.isServing() || clearSince === Infinity) return;
     const status = await host.readiness();
     if (host.life !== life || !life.isServing() || host.clearSince !== clearSince) return;
+    const since = Math.max(clearSince, life.startedAt);
+    const waitedMs = performance.now() - since;
     if (status === 200) {
+      if (!life.wasReady) this.slowestMs = Math.max(this.slowestMs, waitedMs);
       life.wasReady = true;
       return;
     }
-    const since = Math.max(clearSince, life.startedAt);
-    const waitedMs = performance.now() - since;
     const isLate = waitedMs > this.boundMs;
     const isTakenBack = life.wasReady && status !== null;
     if ((!isLate && !isTakenBack) || this.reported.get(host) === since) return;
--- a/soak/balancers/runFaultSoak.ts
+++ b/soak/balancers/runFaultSoak.ts
@@ -51,6 +51,8 @@
   readonly calls: number;
   readonly runs: number;
   readonly succeeded: number;
+  /** Longest time until a process was ready, in milliseconds. */
+  readonly slowestReadyMs: number;
 }
 
 function sleep(milliseconds: number): Promise<void> {
@@ -132,6 +134,7 @@
       ...{ log, faults: lanes.counts, calls: records.calls.length },
       runs: records.arrivals.filter(({ outcome }) => outcome === 'ran').length,
       succeeded: records.calls.filter(({ answer }) => answer?.status === 200).length,
+      slowestReadyMs: Math.round(watch.slowestMs),
     };
   } finally {
     await fleet.close();
