Excuse by the whole time that a killed process takes to end

On a busy machine (load 13 to 19, 40 hosts) a killed process closed its connections up to 281 ms after SIGKILL, and a call that was sent to it meanwhile counted as lost; a refusal with Retry-After that answered a process killed just before counted as known to the next one.

A finding of BUDGET now names each call with its times, and the run prints the longest turn of its own event loop.

--- a/soak/balancers/checkWishes.ts
+++ b/soak/balancers/checkWishes.ts
@@ -1,3 +1,5 @@
+import { type KeptCall } from '../../test/support/keptCall';
+
 import { type CallRecords, type CheckedHost, type ServerArrival } from './callRecords';
 import { type FindingLog } from './findingLog';
 
@@ -21,18 +23,20 @@
   passedOn: readonly PassedOn[],
   findings: FindingLog,
 ): void {
-  const firstSeen = new Map<string, number>();
-  for (const { answer, answeredAt, host } of calls) {
+  const firstSeen = new Map<string, KeptCall>();
+  for (const call of calls) {
+    const { answer, answeredAt, host } = call;
     if (!answer?.headers.has('server-leaving')) continue;
     const server = /^answer of (\S+) to/.exec(answer.body)?.[1];
     const key = `${server} ${hosts[host]!.name}`;
-    firstSeen.set(key, Math.min(firstSeen.get(key) ?? Infinity, answeredAt!));
+    if (answeredAt! < (firstSeen.get(key)?.answeredAt ?? Infinity)) firstSeen.set(key, call);
   }
   for (const { id, at, host, outcome, server, sentAt } of passedOn) {
-    const seenAt = firstSeen.get(`${server} ${host.name}`) ?? Infinity;
-    if (outcome === 'other' || sentAt <= seenAt + DRAIN_MS || wasDisrupted(host, seenAt, at))
+    const seen = firstSeen.get(`${server} ${host.name}`);
+    if (seen === undefined || outcome === 'other' || sentAt <= seen.answeredAt! + DRAIN_MS)
       continue;
-    const after = Math.round(sentAt - seenAt);
+    if (wasDisrupted(host, seen.sentAt, at)) continue;
+    const after = Math.round(sentAt - seen.answeredAt!);
     findings.add(
       'DRAIN',
       `${id} reached ${server} from ${host.name}, ${after} ms after its leaving`,
@@ -41,22 +45,28 @@
 }
 
 function checkRetryAfter(passedOn: readonly PassedOn[], findings: FindingLog): void {
+  const reported = new Set<string>();
   for (const refused of passedOn.filter(({ outcome }) => outcome === 'refused')) {
+    const { at: refusedAt, host, server } = refused;
     const header = refused.extraHeaders.find((line) => line.startsWith('Retry-After: '));
-    if (header === undefined) continue;
-    const from = refused.at + RETRY_AFTER_NOTICE_MS;
-    const until = refused.at + Number(header.split(' ')[1]) * 1000;
+    const pair = `${server} from ${host.name}`;
+    if (header === undefined || reported.has(pair)) continue;
+    const from = refusedAt + RETRY_AFTER_NOTICE_MS;
+    const until = refusedAt + Number(header.split(' ')[1]) * 1000;
     const early = passedOn.filter(
-      ({ at, host, server }) =>
-        host === refused.host && server === refused.server && at > from && at < until,
+      (other) =>
+        other.host === host && other.server === server && other.at > from && other.at < until,
     );
     if (early.length <= MAX_EARLY_CALLS) continue;
-    if (wasDisrupted(refused.host, refused.at, early.at(-1)!.at)) continue;
-    const names = early.map(({ id }) => id).join(' ');
-    findings.add(
-      'BUDGET',
-      `${names} reached ${refused.server} from ${refused.host.name} within ${header} of ${refused.id}`,
-    );
+    // A process that has ended since did not get the answer, or has forgotten it.
+    if (wasDisrupted(host, refused.sentAt, early.at(-1)!.at)) continue;
+    reported.add(pair);
+    const times = early.map(({ id, at, outcome, sentAt }) => {
+      const sent = Math.round(sentAt - refusedAt);
+      return `${id} sent ${sent} ms, ${outcome} ${Math.round(at - refusedAt)} ms`;
+    });
+    const refusal = `${header} of ${refused.id} at ${findings.secondsOf(refusedAt)} s`;
+    findings.add('BUDGET', `calls reached ${pair} after ${refusal}: ${times.join(', ')} after it`);
   }
 }
 
--- a/soak/balancers/hostLife.ts
+++ b/soak/balancers/hostLife.ts
@@ -93,10 +93,12 @@
 
   /** Ends the process with SIGKILL. */
   kill(): void {
-    if (this.hasEnded) return;
+    if (this.hasEnded || this.isKilled) return;
     this.isKilled = true;
-    this.parts.history.begin('kill')();
+    // On a busy machine, a killed process closes its connections some time later.
+    const endKill = this.parts.history.begin('kill');
     this.parts.child.kill('SIGKILL');
+    void this.ended.then(endKill);
   }
 
   /** Suspends the process for a time in milliseconds. */
--- a/soak/balancers/runFaultSoak.ts
+++ b/soak/balancers/runFaultSoak.ts
@@ -1,3 +1,5 @@
+import { monitorEventLoopDelay } from 'node:perf_hooks';
+
 import { SeededRandom } from '../../src/runtime';
 import { type CallerHabits, KeptCaller } from '../../test/support/keptCaller';
 
@@ -53,6 +55,8 @@
   readonly succeeded: number;
   /** Longest time until a process was ready, in milliseconds. */
   readonly slowestReadyMs: number;
+  /** Longest delay of the event loop of callers, store and servers, in milliseconds. */
+  readonly slowestTurnMs: number;
 }
 
 function sleep(milliseconds: number): Promise<void> {
@@ -89,6 +93,8 @@
 export async function runFaultSoak(options: FaultSoakOptions): Promise<FaultSoakResult> {
   const { seed, faultMs, signalAfterMs, command } = options;
   const log = new FindingLog();
+  const turns = monitorEventLoopDelay();
+  turns.enable();
   const settings = { 'stop-grace-s': String(GRACE_S) };
   const zones = ['a', 'b', 'c'];
   const fleet = new SoakFleet({
@@ -117,6 +123,7 @@
     watch.end();
     await watching;
     await Promise.all(hosts.map((host) => host.end()));
+    turns.disable();
     const records: CallRecords = {
       calls: callers.flatMap(({ calls }) => calls),
       arrivals: [...fleet.platform.servers].flatMap(([server, { arrivals }]) =>
@@ -134,6 +141,7 @@
       ...{ log, faults: lanes.counts, calls: records.calls.length },
       runs: records.arrivals.filter(({ outcome }) => outcome === 'ran').length,
       succeeded: records.calls.filter(({ answer }) => answer?.status === 200).length,
+      slowestTurnMs: Math.round(turns.max / 1e6),
       slowestReadyMs: Math.round(watch.slowestMs),
     };
   } finally {
