--- a/soak/balancers/runFaultSoak.ts
+++ b/soak/balancers/runFaultSoak.ts
@@ -65,7 +65,7 @@
   });
 }
 
-function startCallers(fleet: SoakFleet, seed: number, hosts: number): readonly KeptCaller[] {
+function createCallers(fleet: SoakFleet, seed: number, hosts: number): readonly KeptCaller[] {
   const count = Math.max(CALLERS_PER_HABIT, Math.ceil(hosts / HOSTS_PER_CALLER));
   return HABITS.flatMap((habits, habit) =>
     Array.from({ length: count }, (_, index) => {
@@ -100,10 +100,12 @@
   const fleet = new SoakFleet({
     ...{ hosts: options.hosts, serversPerService: SERVERS_PER_SERVICE, zones, settings, command },
   });
+  const hosts: SoakHost[] = [];
+  const callers: KeptCaller[] = [];
+  const watch = new ReadinessWatch(hosts, READY_BOUND_MS, log);
   try {
     await fleet.start();
-    const hosts = fleet.balancers.map((host) => new SoakHost(host, GRACE_S * 1000, log));
-    const watch = new ReadinessWatch(hosts, READY_BOUND_MS, log);
+    hosts.push(...fleet.balancers.map((host) => new SoakHost(host, GRACE_S * 1000, log)));
     for (const host of hosts) host.start();
     const watching = watch.run();
     await untilReady(hosts);
@@ -111,7 +113,7 @@
       balancer.settings['first-start'] = 'false';
       balancer.writeSettings();
     }
-    const callers = startCallers(fleet, seed, hosts.length);
+    callers.push(...createCallers(fleet, seed, hosts.length));
     const calling = callers.map((caller) => caller.run());
     const lanes = new FaultLanes({ fleet, hosts, signalAfterMs, sleep }, log, seed);
     await lanes.run(LANES + Math.floor(hosts.length / HOSTS_PER_LANE), performance.now() + faultMs);
@@ -145,6 +147,9 @@
       slowestReadyMs: Math.round(watch.slowestMs),
     };
   } finally {
+    for (const caller of callers) caller.end();
+    watch.end();
+    for (const host of hosts) host.abandon();
     await fleet.close();
   }
 }
--- a/soak/balancers/soakFleet.ts
+++ b/soak/balancers/soakFleet.ts
@@ -96,14 +96,15 @@
     ]);
   }
 
-  /** Starts a server of a service and registers it; `port` 0 stands for a free one. */
-  async addServer(service: string, port = 0): Promise<FleetServer> {
+  /** Starts a server of a service and registers it, at a free port unless told otherwise. */
+  async addServer(service: string, port?: number): Promise<FleetServer> {
     const { workMs } = SERVICES.find((known) => known.service === service)!;
     const number = this.services.size + 1;
     const id = `i-${number}`;
     this.services.set(id, service);
     const standin = new ServerStandin({ id, workMs, slots: SLOTS });
-    const address = await standin.listen(port);
+    // No ephemeral port: an outgoing connection could take it while the server is down.
+    const address = await standin.listen(port ?? (await freePort()));
     const { zones } = this.options;
     const zone = zones[number % zones.length]!;
     const server: FleetServer = { id, service, zone, standin, address };
--- a/soak/balancers/soakHost.ts
+++ b/soak/balancers/soakHost.ts
@@ -25,6 +25,8 @@
   /** Monotonic time at which the last obstacle to being ready went away; Infinity while one is there. */
   clearSince = performance.now();
 
+  private readonly lives: HostLife[] = [];
+
   private obstacles = 0;
 
   private isEnding = false;
@@ -49,6 +51,7 @@
     const child = this.balancer.spawn();
     const life = new HostLife({ host: name, child, graceMs, history, findings });
     this.life = life;
+    this.lives.push(life);
     void life.ended.then(() => this.restartAfter(life));
   }
 
@@ -94,6 +97,12 @@
     await this.stop();
   }
 
+  /** Kills its processes at once, for a run that ends early. */
+  abandon(): void {
+    this.isEnding = true;
+    for (const life of this.lives) life.kill();
+  }
+
   private async restartAfter(life: HostLife): Promise<void> {
     if (!life.hasEndedByItself) return;
     await new Promise((resolve) => {
