--- a/soak/balancers/runFaultSoak.ts
+++ b/soak/balancers/runFaultSoak.ts
@@ -111,7 +111,7 @@
     await untilReady(hosts);
     for (const { balancer } of hosts) {
       balancer.settings['first-start'] = 'false';
-      balancer.writeSettings();
+      balancer.writeSettings(balancer.markedSettings());
     }
     callers.push(...createCallers(fleet, seed, hosts.length));
     const calling = callers.map((caller) => caller.run());
--- a/soak/balancers/settingsFaults.ts
+++ b/soak/balancers/settingsFaults.ts
@@ -9,14 +9,14 @@
 
 function writeByRename({ balancer }: SoakHost): void {
   const draft = `${balancer.settingsFile}.new`;
-  writeFileSync(draft, balancer.settingsText());
+  writeFileSync(draft, balancer.markedSettings());
   renameSync(draft, balancer.settingsFile);
 }
 
 /** How the settings file is written. */
 const WRITERS: readonly ((host: SoakHost, context: BalancerFaultContext) => Promise<void>)[] = [
   (host) => {
-    host.balancer.writeSettings();
+    host.balancer.writeSettings(host.balancer.markedSettings());
     return Promise.resolve();
   },
   (host) => {
@@ -24,11 +24,11 @@
     return Promise.resolve();
   },
   async (host, { random, sleep }) => {
-    const text = host.balancer.settingsText();
+    const text = host.balancer.markedSettings();
     const endObstacle = host.beginObstacle();
     writeFileSync(host.balancer.settingsFile, text.slice(0, random.integer(text.length)));
     await sleep(random.integer(MAX_CUT_MS));
-    host.balancer.writeSettings();
+    host.balancer.writeSettings(host.balancer.markedSettings());
     endObstacle();
   },
 ];
--- a/soak/balancers/soakFleet.ts
+++ b/soak/balancers/soakFleet.ts
@@ -73,7 +73,7 @@
     const seeds = this.balancers.map((balancer) => balancer.settings['control-address']!);
     for (const balancer of this.balancers) {
       balancer.settings.seeds = seeds.slice(0, SEED_HOSTS).join(',');
-      balancer.writeSettings();
+      balancer.writeSettings(balancer.markedSettings());
     }
   }
 
--- a/src/balancer/events.ts
+++ b/src/balancer/events.ts
@@ -9,7 +9,6 @@
   stopped: { number: 2304, level: 'info', message: 'balancer stopped' },
   reloaded: { number: 2305, level: 'info', message: 'settings file reloaded' },
   reloadFailed: { number: 2306, level: 'warn', message: 'settings file is invalid' },
-  startFailed: { number: 2307, level: 'error', message: 'balancer could not start' },
   catalogChanged: { number: 2308, level: 'info', message: 'catalog changed' },
   targetLost: { number: 2309, level: 'info', message: 'target is considered lost' },
   targetHealthy: { number: 2310, level: 'info', message: 'target is confirmed healthy' },
@@ -24,7 +23,15 @@
   addressInUse: {
     number: 2316,
     level: 'warn',
-    message: 'an address could not be opened; retrying',
+    message: 'waiting for an address that could not be opened',
   },
+  addressOpened: { number: 2317, level: 'info', message: 'address opened after a wait' },
+  settingsAwaited: {
+    number: 2318,
+    level: 'warn',
+    message: 'waiting for settings that are missing or invalid',
+  },
+  settingsRead: { number: 2319, level: 'info', message: 'settings read after a wait' },
+  exited: { number: 2320, level: 'info', message: 'balancer process ends' },
   unexpected: { number: 2315, level: 'error', message: 'unexpected error' },
 });
--- a/test/support/balancerProcess.ts
+++ b/test/support/balancerProcess.ts
@@ -25,6 +25,8 @@
 
   readonly settingsFile = join(this.folder, 'settings');
 
+  environment: Record<string, string> = { LIMPETKNOT_NODE_FILE: this.settingsFile };
+
   constructor(private readonly platform: TestPlatform) {}
 
   /** Chooses free ports on `ip` and settings that fit the stand-ins of the platform. */
@@ -45,38 +47,59 @@
     };
   }
 
-  /** Content of the settings file. */
-  settingsText(): string {
-    const lines = Object.entries(this.settings).map(([name, value]) => `${name}=${value}`);
-    return `${lines.join('\n')}\n`;
+  /** Text of the settings file, with the marks of its begin and end. */
+  markedSettings(): string {
+    return `# begin of settings\n${this.plainSettings()}# end of settings\n`;
   }
 
   /** Writes the settings file. */
-  writeSettings(): void {
-    writeFileSync(this.settingsFile, this.settingsText());
+  writeSettings(text = this.plainSettings()): void {
+    writeFileSync(this.settingsFile, text);
+  }
+
+  private plainSettings(): string {
+    return Object.entries(this.settings)
+      .map(([name, value]) => `${name}=${value}\n`)
+      .join('');
   }
 
-  /** Starts the process without reading its output. */
-  spawn(): ChildProcessWithoutNullStreams {
-    this.child = spawn(process.execPath, this.command, {
-      env: { PATH: process.env.PATH, LIMPETKNOT_NODE_FILE: this.settingsFile },
+  /** Starts the process, or one with other arguments of Node.js, without reading its output. */
+  spawn(argumentList = this.command): ChildProcessWithoutNullStreams {
+    this.child = spawn(process.execPath, argumentList, {
+      env: { PATH: process.env.PATH, ...this.environment },
     });
     return this.child;
   }
 
-  /** Starts the process; resolves to its exit code when it ends. */
-  launch(): Promise<number | null> {
-    const child = this.spawn();
+  /** Starts the process, or one with other arguments of Node.js; resolves to its exit code. */
+  launch(argumentList = this.command): Promise<number | null> {
+    const child = this.spawn(argumentList);
     const appendOutput = (chunk: Buffer) => {
       this.output += chunk.toString('utf8');
     };
     child.stdout.on('data', appendOutput);
     child.stderr.on('data', appendOutput);
     return new Promise((resolve) => {
-      child.on('exit', (code) => resolve(code));
+      // With all of its output received.
+      child.on('close', (code) => resolve(code));
     });
   }
 
+  /** Events of the log so far that have `number`. */
+  logged(number: number): readonly Record<string, unknown>[] {
+    return this.records().filter(({ event }) => event === number);
+  }
+
+  /** The last line of the log. */
+  lastRecord(): Record<string, unknown> | undefined {
+    return this.records().at(-1);
+  }
+
+  private records(): readonly Record<string, unknown>[] {
+    const lines = this.output.split('\n').filter((line) => line.startsWith('{'));
+    return lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+  }
+
   /** Waits until the process reports that it is ready. */
   async untilReady(): Promise<void> {
     for (let attempt = 0; attempt < 300; attempt += 1) {
