--- a/soak/balancers/findingLog.ts
+++ b/soak/balancers/findingLog.ts
@@ -8,7 +8,7 @@
 export class FindingLog {
   readonly findings: Finding[] = [];
 
-  readonly timeline: string[] = [];
+  readonly timeline = [`begun at ${new Date().toISOString()}`];
 
   private readonly startedAt = performance.now();
 
--- a/soak/balancers/hostLife.ts
+++ b/soak/balancers/hostLife.ts
@@ -1,4 +1,5 @@
 import { type ChildProcessWithoutNullStreams } from 'node:child_process';
+import { type Writable } from 'node:stream';
 
 import { type FindingLog } from './findingLog';
 import { type HostHistory } from './hostHistory';
@@ -14,6 +15,8 @@
   readonly graceMs: number;
   readonly history: HostHistory;
   readonly findings: FindingLog;
+  /** Also gets the output of the process; null for none. */
+  readonly copy: Writable | null;
 }
 
 /** One process of a host, from its start to its end. */
@@ -126,6 +129,7 @@
   }
 
   private readOutput(text: string): void {
+    this.parts.copy?.write(text);
     this.output += text;
     const lines = this.output.split('\n');
     this.output = lines.pop()!;
--- a/soak/balancers/runFaultSoak.ts
+++ b/soak/balancers/runFaultSoak.ts
@@ -1,3 +1,5 @@
+import { createWriteStream } from 'node:fs';
+import { join } from 'node:path';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 
 import { SeededRandom } from '../../src/runtime';
@@ -43,6 +45,8 @@
   readonly signalAfterMs: number;
   /** Arguments of Node.js for each host; null for the program as built. */
   readonly command: readonly string[] | null;
+  /** Folder for the output of the processes, a file for each host; null for none. */
+  readonly outputFolder: string | null;
 }
 
 /** Result of a soak run with faults. */
@@ -91,7 +95,7 @@
 
 /** Runs real processes, which callers use, under random faults, and checks the rules. */
 export async function runFaultSoak(options: FaultSoakOptions): Promise<FaultSoakResult> {
-  const { seed, faultMs, signalAfterMs, command } = options;
+  const { seed, faultMs, signalAfterMs, command, outputFolder } = options;
   const log = new FindingLog();
   const turns = monitorEventLoopDelay();
   turns.enable();
@@ -105,7 +109,11 @@
   const watch = new ReadinessWatch(hosts, READY_BOUND_MS, log);
   try {
     await fleet.start();
-    hosts.push(...fleet.balancers.map((host) => new SoakHost(host, GRACE_S * 1000, log)));
+    for (const balancer of fleet.balancers) {
+      const file = outputFolder && join(outputFolder, `${balancer.settings['host-id']}.log`);
+      const copy = file === null ? null : createWriteStream(file);
+      hosts.push(new SoakHost(balancer, GRACE_S * 1000, log, copy));
+    }
     for (const host of hosts) host.start();
     const watching = watch.run();
     await untilReady(hosts);
--- a/soak/balancers/soakHost.ts
+++ b/soak/balancers/soakHost.ts
@@ -1,4 +1,5 @@
 import { request } from 'node:http';
+import { type Writable } from 'node:stream';
 
 import { type BalancerProcess } from '../../test/support/balancerProcess';
 
@@ -35,6 +36,7 @@
     readonly balancer: BalancerProcess,
     private readonly graceMs: number,
     private readonly findings: FindingLog,
+    private readonly copy: Writable | null,
   ) {
     this.name = balancer.settings['host-id']!;
   }
@@ -47,9 +49,9 @@
   /** Starts a process, even beside one that still stops. */
   startAnother(): void {
     if (this.isEnding) return;
-    const { findings, graceMs, history, name } = this;
+    const { copy, findings, graceMs, history, name } = this;
     const child = this.balancer.spawn();
-    const life = new HostLife({ host: name, child, graceMs, history, findings });
+    const life = new HostLife({ host: name, child, graceMs, history, findings, copy });
     this.life = life;
     this.lives.push(life);
     void life.ended.then(() => this.restartAfter(life));
--- a/test/balancer/faultSoak.test.ts
+++ b/test/balancer/faultSoak.test.ts
@@ -6,6 +6,7 @@
 // An earlier SIGHUP ends a process in which Node.js itself still starts (KNOWN-RED.txt); the program as
 // built for tests takes longer to load than the bundle, which SOAK_COMMAND names.
 const SIGNAL_AFTER_MS = Number(process.env.SOAK_SIGNAL_AFTER_MS ?? 700);
+const OUTPUT_FOLDER = process.env.SOAK_OUTPUT ?? null;
 const COMMAND = process.env.SOAK_COMMAND?.split(' ') ?? null;
 
 describe('faults in series, which overlap', () => {
@@ -15,7 +16,10 @@
     'end no process and break no rule, seed %d',
     async (seed) => {
       const options = { hosts: HOSTS, faultMs: SOAK_MS, signalAfterMs: SIGNAL_AFTER_MS };
-      const result = await runFaultSoak({ ...options, seed, command: COMMAND });
+      const result = await runFaultSoak({
+        ...options,
+        ...{ seed, command: COMMAND, outputFolder: OUTPUT_FOLDER },
+      });
       const { calls, faults, log, runs, slowestReadyMs, slowestTurnMs, succeeded } = result;
       const counts = [...faults].map(([name, count]) => `${name} ${count}`).join(', ');
       const served = `${calls} calls, ${runs} runs, ${succeeded} succeeded`;
