--- a/soak/balancers/balancerFault.ts
+++ b/soak/balancers/balancerFault.ts
@@ -8,7 +8,10 @@
   readonly fleet: SoakFleet;
   readonly hosts: readonly SoakHost[];
   readonly random: Random;
-  /** Age of a process, in milliseconds, before which it gets no signals but SIGKILL and SIGSTOP. */
+  /**
+   * Age in milliseconds from which a process gets signals other than SIGKILL and SIGSTOP, if it has not
+   * written anything before.
+   */
   readonly signalAfterMs: number;
   /** Describes what the fault does. */
   readonly note: (text: string) => void;
--- a/soak/balancers/hostLife.ts
+++ b/soak/balancers/hostLife.ts
@@ -66,9 +66,10 @@
     return !this.hasEnded && !this.isKilled && this.stopRequestedAt === null;
   }
 
-  /** Whether signals reach it: it runs, and is at least `minAgeMs` old. */
-  isOlderThan(minAgeMs: number): boolean {
-    return !this.hasEnded && performance.now() - this.startedAt >= minAgeMs;
+  /** Whether it may get signals: its program runs, as its output shows, or it is `minAgeMs` old. */
+  takesSignals(minAgeMs: number): boolean {
+    const hasOutput = this.recentLines.length > 0;
+    return !this.hasEnded && (hasOutput || performance.now() - this.startedAt >= minAgeMs);
   }
 
   /** Sends a signal that must not end the process by its default action. */
--- a/soak/balancers/processFaults.ts
+++ b/soak/balancers/processFaults.ts
@@ -40,16 +40,17 @@
   for (let count = random.integer(5); count > 0; count -= 1) {
     const signal = STOP_SIGNALS[random.integer(STOP_SIGNALS.length)]!;
     await sleep(random.next() < 0.5 ? random.integer(30) : random.integer(1000));
-    if (life.isOlderThan(signalAfterMs)) life.signal(signal);
+    if (life.takesSignals(signalAfterMs)) life.signal(signal);
   }
 }
 
 async function untilSignalsReach(context: BalancerFaultContext, host: SoakHost): Promise<void> {
-  const { signalAfterMs, sleep } = context;
-  for (let waited = 0; waited < signalAfterMs; waited += 10) {
-    if (host.life === null || host.life.isOlderThan(signalAfterMs)) return;
-    await sleep(10);
-  }
+  while (
+    host.life !== null &&
+    !host.life.hasEnded &&
+    !host.life.takesSignals(context.signalAfterMs)
+  )
+    await context.sleep(10);
 }
 
 const stop: BalancerFault = (context) =>
@@ -112,7 +113,7 @@
   const count = 1 + random.integer(20);
   context.note(`${host.name}, ${count} times`);
   for (let sent = 0; sent < count; sent += 1) {
-    if (host.life?.isOlderThan(signalAfterMs)) host.life.signal('SIGHUP');
+    if (host.life?.takesSignals(signalAfterMs)) host.life.signal('SIGHUP');
     await sleep(random.integer(60));
   }
 };
@@ -124,7 +125,7 @@
     host.start();
     await untilSignalsReach(context, host);
     for (let count = 1 + context.random.integer(10); count > 0; count -= 1) {
-      if (host.life?.isOlderThan(context.signalAfterMs)) host.life.signal('SIGHUP');
+      if (host.life?.takesSignals(context.signalAfterMs)) host.life.signal('SIGHUP');
       await context.sleep(context.random.integer(50));
     }
   });
--- a/soak/balancers/runFaultSoak.ts
+++ b/soak/balancers/runFaultSoak.ts
@@ -41,7 +41,10 @@
   readonly hosts: number;
   /** Time in which faults begin. */
   readonly faultMs: number;
-  /** Age of a process, in milliseconds, before which it gets no signals but SIGKILL and SIGSTOP. */
+  /**
+   * Age in milliseconds from which a process gets signals other than SIGKILL and SIGSTOP, if it has not
+   * written anything before.
+   */
   readonly signalAfterMs: number;
   /** Arguments of Node.js for each host; null for the program as built. */
   readonly command: readonly string[] | null;
--- a/soak/balancers/settingsFaults.ts
+++ b/soak/balancers/settingsFaults.ts
@@ -45,7 +45,7 @@
       .slice(0, 3)
       .join(',');
     await WRITERS[random.integer(WRITERS.length)]!(host, context);
-    if (random.next() < 0.5 && host.life?.isOlderThan(signalAfterMs)) host.life.signal('SIGHUP');
+    if (random.next() < 0.5 && host.life?.takesSignals(signalAfterMs)) host.life.signal('SIGHUP');
     await sleep(random.integer(250));
   }
 };
