--- a/test/support/balancerProcess.ts
+++ b/test/support/balancerProcess.ts
@@ -1,4 +1,4 @@
-import { type ChildProcessWithoutNullStreams, spawn } from 'node:child_process';
+import { type ChildProcess, type ChildProcessWithoutNullStreams, spawn } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -12,7 +12,7 @@
 
 /** A balancer in a process of its own, with its settings file, for a test. */
 export class BalancerProcess {
-  child: ChildProcessWithoutNullStreams | null = null;
+  child: ChildProcess | null = null;
 
   output = '';
 
@@ -65,10 +65,11 @@
 
   /** Starts the process, or one with other arguments of Node.js, without reading its output. */
   spawn(argumentList = this.command): ChildProcessWithoutNullStreams {
-    this.child = spawn(process.execPath, argumentList, {
+    const child = spawn(process.execPath, argumentList, {
       env: { PATH: process.env.PATH, ...this.environment },
     });
-    return this.child;
+    this.child = child;
+    return child;
   }
 
   /** Starts the process, or one with other arguments of Node.js; resolves to its exit code. */
