--- a/test/support/balancerProcess.ts
+++ b/test/support/balancerProcess.ts
@@ -1,4 +1,4 @@
-import { type ChildProcess, spawn } from 'node:child_process';
+import { type ChildProcess, type ChildProcessWithoutNullStreams, spawn } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -21,6 +21,9 @@
 
   settings: Record<string, string> = {};
 
+  /** Arguments of Node.js: its options and the program. */
+  command: readonly string[] = [MAIN];
+
   private readonly folder = mkdtempSync(join(tmpdir(), 'balancer-'));
 
   readonly settingsFile = join(this.folder, 'settings');
@@ -64,15 +67,21 @@
   }
 
   /**
-   * Starts the process, or one with other arguments of Node.js, with a limit of descriptors; resolves to
-   * its exit code.
+   * Starts the process, or one with other arguments of Node.js, with a limit of descriptors and without
+   * reading its output.
    */
-  launch(argumentList: readonly string[] = [MAIN], descriptorLimit = 4096): Promise<number | null> {
+  spawn(argumentList = this.command, descriptorLimit = 4096): ChildProcessWithoutNullStreams {
     const command = `ulimit -n ${descriptorLimit}; exec "$0" "$@"`;
     const child = spawn('sh', ['-c', command, process.execPath, ...argumentList], {
       env: { PATH: process.env.PATH, ...this.environment },
     });
     this.child = child;
+    return child;
+  }
+
+  /** Starts the process, or one with other arguments of Node.js; resolves to its exit code. */
+  launch(argumentList = this.command, descriptorLimit = 4096): Promise<number | null> {
+    const child = this.spawn(argumentList, descriptorLimit);
     const appendOutput = (chunk: Buffer) => {
       this.output += chunk.toString('utf8');
     };
--- a/test/support/rawCaller.ts
+++ b/test/support/rawCaller.ts
@@ -16,10 +16,18 @@
 
   isClosed = false;
 
+  /** Monotonic time in milliseconds at which the connection was established; null before. */
+  openedAt: number | null = null;
+
+  /** Monotonic time in milliseconds at which the connection closed; null before. */
+  closedAt: number | null = null;
+
   private readonly socket: Socket;
 
   constructor(port: number, ip = '127.0.0.1') {
-    this.socket = connect({ port, host: ip, allowHalfOpen: true });
+    this.socket = connect({ port, host: ip, allowHalfOpen: true }, () => {
+      this.openedAt = performance.now();
+    });
     // Without a listener for the other side's end, this side would stay open.
     this.socket.on('end', () => this.socket.end());
     this.socket.on('data', (chunk) => {
@@ -29,6 +37,7 @@
     this.closed = new Promise((resolve) => {
       this.socket.once('close', () => {
         this.isClosed = true;
+        this.closedAt = performance.now();
         resolve();
       });
     });
