Take the default of a setting whose value in the file is empty

An empty value of a file now counts as absent if the setting has a default; required settings are refused as before.

--- a/src/settings/readSettings.ts
+++ b/src/settings/readSettings.ts
@@ -14,7 +14,10 @@
 export interface SettingsSource {
   readonly arguments: readonly string[];
   readonly environment: Readonly<Record<string, string | undefined>>;
-  /** Settings from a file by flag name; unknown ones are ignored. */
+  /**
+   * Settings from a file by flag name; unknown ones are ignored. One without text counts as absent if it
+   * has a default, since the file may be made from a template whose value is missing.
+   */
   readonly file?: Readonly<Record<string, string>>;
 }
 
@@ -54,7 +57,9 @@
     const variable = definition.isSwitch
       ? undefined
       : source.environment[environmentVariableOf(flag)];
-    const rawValue = flagValue ?? variable ?? source.file?.[flag] ?? definition.fallback;
+    const fileValue = source.file?.[flag];
+    const fileOrFallback = fileValue === '' ? (definition.fallback ?? '') : fileValue;
+    const rawValue = flagValue ?? variable ?? fileOrFallback ?? definition.fallback;
     if (rawValue === null || rawValue === undefined) {
       errors.push({
         setting: flag,
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -4,6 +4,7 @@
 
 import { ManualClock } from '../src/runtime';
 import {
+  BALANCER_SETTINGS,
   findSettingsEnd,
   formatSettingsError,
   GATEWAY_SETTINGS,
@@ -98,3 +99,27 @@
   expect(file.read().ok).toBe(true);
   rmSync(folder, { recursive: true });
 });
+
+// Guards against a host that waits without end for a value that has a default, because the field of the
+// template is not in force and therefore empty.
+test('a setting without text in the file has its default', () => {
+  const required = {
+    ...{
+      'host-id': 'host-1',
+      zone: 'a',
+      zones: 'a',
+      'exchange-port': '7620',
+      source: '10.0.0.9:80',
+    },
+    'caller-address': '10.0.0.1:1',
+    'readiness-address': '10.0.0.1:2',
+    'control-address': '10.0.0.1:3',
+  };
+  const valuesOf = (file: Record<string, string>) =>
+    readSettings(BALANCER_SETTINGS, { arguments: [], environment: {}, file }).unwrap().values;
+  const optional = Object.keys(BALANCER_SETTINGS).filter((flag) => !(flag in required));
+  const empty = Object.fromEntries(optional.map((flag) => [flag, '']));
+  expect(valuesOf({ ...empty, ...required })).toEqual(valuesOf(required));
+  const withoutZone = { arguments: [], environment: {}, file: { ...required, zone: '' } };
+  expect(readSettings(BALANCER_SETTINGS, withoutZone).err).toBe(true);
+});
