--- a/scripts/bundlePlatform.js
+++ b/scripts/bundlePlatform.js
@@ -2,10 +2,17 @@
 // Without the bundle a restarted host loads about 600 modules, which doubles its start-up CPU time.
 // Arguments: the folder, and the time limit of the warm-up in milliseconds.
 const { buildSync } = require('esbuild');
-const { copyFileSync, mkdirSync, renameSync, rmSync, writeFileSync } = require('node:fs');
+const {
+  copyFileSync,
+  mkdirSync,
+  readFileSync,
+  renameSync,
+  rmSync,
+  writeFileSync,
+} = require('node:fs');
 const { join, resolve } = require('node:path');
 
-const { loadBundle } = require('./platformLauncher');
+const { loadBundle, sealCache } = require('./platformLauncher');
 
 const root = join(__dirname, '..');
 const folder = resolve(process.argv[2] ?? join(root, 'target/platform'));
@@ -51,13 +58,13 @@
 build('scripts/warmUp.ts', warmUpBundle);
 
 const write = process.stdout.write.bind(process.stdout);
+// The daemon still runs in this process, whose exit is replaced to notice its end.
+const exitProcess = process.exit.bind(process);
 
 function exit(code) {
   // The daemon would report the end of the build as its own.
   process.removeAllListeners('exit');
-  // The daemon still runs in this process.
-  // eslint-disable-next-line n/no-process-exit
-  process.exit(code);
+  exitProcess(code);
 }
 
 /** Rejects when the daemon ends, when an error is thrown, and after the time limit. */
@@ -84,7 +91,8 @@
   } finally {
     // After a failure the code compiled so far is cached too.
     const data = script.createCachedData();
-    replace(`${bundle}.cache`, (path) => writeFileSync(path, data, { flush: true }));
+    const cache = sealCache(readFileSync(bundle, 'utf8'), data);
+    replace(`${bundle}.cache`, (path) => writeFileSync(path, cache, { flush: true }));
     process.stdout.write = write;
     warmUp.close();
   }
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -1,5 +1,6 @@
 import { createWriteStream } from 'node:fs';
 import { Writable } from 'node:stream';
+import { inspect } from 'node:util';
 
 import { Lifecycle } from '../lifecycle';
 import { BufferedWriter, createLogger, DecisionLog, EventLog } from '../logging';
@@ -55,8 +56,10 @@
     return signals.first.aborted ? 0 : EXIT_FAILURE;
   }
   const { dispatcher, fleet, transport } = openedFleet.val;
-  const gateway = await startGateway(settings, { ...parts, handover, decisions, fleet, transport });
+  const dependencies = { ...parts, handover, decisions, fleet, transport, signal: signals.first };
+  const gateway = await startGateway(settings, dependencies);
   if (gateway.err) {
+    if (signals.first.aborted) return 0;
     events.emit(GATEWAY_EVENTS.startFailed, { ...gateway.val });
     return EXIT_FAILURE;
   }
@@ -67,6 +70,10 @@
 async function runGateway(settings: GatewaySettings): Promise<number> {
   const hostId = settings['host-id'];
   const events = new EventLog(createLogger('limpetknot-gateway', hostId, settings['log-level']));
+  // Only logs: Node.js ends the process with code 1 afterwards.
+  process.on('uncaughtExceptionMonitor', (error: unknown) =>
+    events.emit(GATEWAY_EVENTS.failed, { reason: inspect(error), code: EXIT_FAILURE }),
+  );
   const lifecycle = new Lifecycle();
   const writer = new BufferedWriter(openDecisionOutput(settings['decision-log']));
   lifecycle.own('decision log', () => writer.close());
@@ -82,7 +89,7 @@
   const decisions = new DecisionLog(writer, 'limpetknot-gateway', hostId, () => new Date());
   const exitCode = await joinAndServe(settings, parts, decisions);
   await lifecycle.close();
-  events.emit(GATEWAY_EVENTS.stopped);
+  events.emit(GATEWAY_EVENTS.stopped, { code: exitCode });
   return exitCode;
 }
 
