Read the source if the reader of the zone cannot be asked

A host that started with its fleet never became ready while the reader of its zone lived but refused pulls at its control address (found by the soak, whose first form had ports of its own for each host: event 2103 every 40 ms, not ready after 7 s). The same comes of a control address that another process holds: its host is ready without it. After two seconds without a configuration, while a neighbour says that it reads, a host reads the source itself.

A host that has a configuration and can't pull a later one that does not fit into datagrams still waits for another holder.

--- a/test/source/mustRead.test.ts
+++ b/test/source/mustRead.test.ts
@@ -35,6 +35,18 @@
     expect(readers).toHaveLength(1);
   });
 
+  // Guards against a host that never becomes ready, since the reader of its zone cannot be asked.
+  it('reads itself if it gets no configuration from the reader of its zone', () => {
+    const neighbours = ['host-1', 'host-3', 'host-4', 'host-5', 'host-6'].map((hostId) => ({
+      ...{ hostId, state: 'reading' as const },
+    }));
+    const hosts = ['host-a', 'host-b', 'host-c', 'host-d'];
+    const readersAt = (uptimeMs: number) =>
+      hosts.filter((hostId) => mustRead({ ...FIRST_START, hostId, uptimeMs, neighbours }));
+    expect(readersAt(1000).length).toBeLessThan(hosts.length);
+    expect(readersAt(2500)).toEqual(hosts);
+  });
+
   // Guards against a host that still reads for others while it shuts down.
   it('never reads while stopping', () => {
     expect(mustRead({ ...FIRST_START, isStopping: true, uptimeMs: 900 })).toBe(false);
