--- a/test/balancer/build.test.ts
+++ b/test/balancer/build.test.ts
@@ -40,7 +40,8 @@
           ...['--import', `data:text/javascript,${encodeURIComponent(code)}`],
           ...[BUNDLE_SCRIPT, folder, String(TIME_LIMIT_MS)],
         ],
-        { timeout: 15_000 },
+        // The daemon in the build handles SIGTERM.
+        { timeout: 15_000, killSignal: 'SIGKILL' },
       );
       const names = readdirSync(folder).sort();
       const cacheBytes = names.includes('balancer.js.cache')
