Separate the admission of calls to targets from placement

No behaviour changes. The placer knew both which target suits a call best and when a target takes calls at all; the second part is now TargetAdmission. placer.ts shrinks from 319 to 242 lines.

--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -157,7 +157,7 @@
       if (this.isFinished) result.answer?.rest?.cancel();
       else this.mailbox.put({ kind: 'ended', attempt: ended, result });
     });
-    this.context.placer.recordSent(targetId);
+    this.context.placer.admission.recordSent(targetId);
     if (this.triedTargets.size === 0) this.context.recordFirstAttempt(this.call.service);
     this.triedTargets.add(targetId);
     this.runningAttempts.add(attempt);
@@ -304,8 +304,8 @@
       leftMs: Math.max(0, this.call.callerDeadline - clock.now()),
       workMs: this.workMs(),
       rank: placer.rankOf(this.call),
-      callIntervalMs: reason === 'limited' ? placer.callIntervalMs(this.call.service) : 0,
-      quietForMs: reason === 'limited' ? placer.quietForMs(this.call.service) : 0,
+      callIntervalMs: reason === 'limited' ? placer.admission.callIntervalMs(this.call.service) : 0,
+      quietForMs: reason === 'limited' ? placer.admission.quietForMs(this.call.service) : 0,
     };
     const retryAfterMs = retryAfter(reason, input, random);
     return { kind: 'own', own: { kind: 'notRun', reason, retryAfterMs } };
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -144,7 +144,7 @@
   /** Applies a changed catalog. */
   applyCatalog(catalog: Catalog): void {
     this.connections.applyCatalog(catalog);
-    this.placer.applyCatalog(catalog);
+    this.placer.admission.applyCatalog(catalog);
     for (const target of this.targetsWithUnreadableLimit)
       if (!catalog.targets.has(target)) this.targetsWithUnreadableLimit.delete(target);
   }
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -1,27 +1,24 @@
-import { type Catalog, type Configuration, type Route, type Target } from '../catalog';
+import { type Configuration, type Route, type Target } from '../catalog';
 import {
   isUnchecked,
   type LastSlotSlowdowns,
   type TargetStatistics,
-  type TargetStatisticsTable,
   type WorkEstimates,
 } from '../knowledge';
 import {
   type CallRequirements,
   type Candidate,
   chooseTarget,
-  CallRateLimiter,
   type Placement,
   type QueuedCall,
   WaitQueue,
 } from '../placement';
-import { type Clock, type Random } from '../runtime';
+import { type Random } from '../runtime';
 
 import { type IncomingCall } from './incomingCall';
-import { TargetPool, type TargetPreference } from './targetPool';
+import { type AdmissionParts, TargetAdmission } from './targetAdmission';
+import { TargetPool } from './targetPool';
 
-// By then the first health check of a new target has ended.
-const FIRST_CHECK_TIME_MS = 1000;
 // The slowdown of a full target is sampled only while its pace is at most this.
 const STEADY_PACE_PERCENT = 120;
 
@@ -35,20 +32,13 @@
 }
 
 /** Dependencies of the placer. */
-export interface PlacerParts {
-  readonly clock: Clock;
+export interface PlacerParts extends AdmissionParts {
   readonly random: Random;
   readonly zone: string;
-  readonly catalog: () => Catalog;
-  readonly targetStates: TargetStatisticsTable;
   readonly work: WorkEstimates;
   readonly lastSlotSlowdowns: LastSlotSlowdowns;
-  /** Whether this host uses the target before others; the hosts of a large zone share them out. */
-  readonly preference: TargetPreference;
   /** Whether there is an idle connection to the target. */
   readonly isConnected: (target: Target) => boolean;
-  /** Calls per second that this host may send to a target, out of `rate` for all hosts. */
-  readonly callShare: (target: Target, rate: number) => number;
 }
 
 function workKeyOf(call: IncomingCall): string {
@@ -57,7 +47,7 @@
 
 /** Builds candidates from the state of the targets and places calls on them. */
 export class Placer {
-  private readonly rateLimiter: CallRateLimiter;
+  readonly admission: TargetAdmission;
 
   private readonly pool: TargetPool;
 
@@ -72,7 +62,7 @@
   };
 
   constructor(private readonly parts: PlacerParts) {
-    this.rateLimiter = new CallRateLimiter(parts.clock);
+    this.admission = new TargetAdmission(parts);
     this.pool = new TargetPool(parts.zone, parts.random, parts.preference);
   }
 
@@ -92,18 +82,6 @@
     return this.placeAmong([...preferred, ...others], call, requirements);
   }
 
-  /** Counts a call that is sent to a target against the rate of the target. */
-  recordSent(targetId: string): void {
-    const target = this.parts.catalog().targets.get(targetId);
-    if (target === undefined || this.callRate(target) === Infinity) return;
-    this.rateLimiter.record(targetId);
-  }
-
-  /** Forgets the targets that are not in the catalog. */
-  applyCatalog(catalog: Catalog): void {
-    this.rateLimiter.retainTargets((target) => catalog.targets.has(target));
-  }
-
   private placeAmong(
     targets: readonly Target[],
     call: IncomingCall,
@@ -202,54 +180,6 @@
     };
   }
 
-  /**
-   * Calls per second that a target takes from all hosts: what it states itself, and the rate of its
-   * service while it is cold. Infinity without a limit.
-   */
-  private callRate(target: Target): number {
-    const { clock, targetStates, catalog } = this.parts;
-    const targetState = targetStates.get(target.id)!;
-    const stated = targetStates.callLimit(targetState);
-    if (targetState.coldUntil <= clock.now()) return stated;
-    return Math.min(stated, catalog().services.get(target.service)?.coldRatePerSecond ?? 0);
-  }
-
-  /**
-   * Time until this host may send a call to a target that limits its calls or wants none for now, in
-   * milliseconds.
-   */
-  private limitedForMs(target: Target): number {
-    const quietForMs = this.parts.targetStates.quietForMs(target.id);
-    const rate = this.callRate(target);
-    if (rate === Infinity) return quietForMs;
-    const delayMs = this.rateLimiter.delay(target.id, this.parts.callShare(target, rate));
-    return Math.max(quietForMs, delayMs);
-  }
-
-  /** Time until the first target of a service that is not leaving wants calls, in milliseconds. */
-  quietForMs(service: string): number {
-    const { targetStates } = this.parts;
-    const times = this.usableTargets(service)
-      .map(({ id }) => targetStates.quietForMs(id))
-      .filter((time) => time !== Infinity);
-    return times.length === 0 ? 0 : Math.min(...times);
-  }
-
-  /** Mean time between the calls that all targets of a service allow together, in milliseconds. */
-  callIntervalMs(service: string): number {
-    const { targetStates } = this.parts;
-    let rate = 0;
-    for (const { id } of this.usableTargets(service))
-      rate += targetStates.callLimit(targetStates.get(id)!);
-    return rate === 0 ? 0 : 1000 / rate;
-  }
-
-  private usableTargets(service: string): readonly Target[] {
-    const { targetsByService, zonesOut } = this.parts.catalog();
-    const targets = targetsByService.get(service) ?? [];
-    return targets.filter(({ state, zone }) => state === 'ready' && !zonesOut.has(zone));
-  }
-
   private toCandidate(target: Target): Candidate {
     const { clock, targetStates, zone } = this.parts;
     const targetState = targetStates.get(target.id)!;
@@ -265,19 +195,12 @@
       isUnhealthy: targetState.isUnhealthy,
       isConnected: this.parts.isConnected(target),
       isCold: targetState.coldUntil > now,
-      limitedForMs: targetState.coldUntil > now ? 0 : this.limitedForMs(target),
-      isUnconfirmed: this.isUnconfirmed(target, targetState, now),
+      limitedForMs: targetState.coldUntil > now ? 0 : this.admission.limitedForMs(target),
+      isUnconfirmed: this.admission.isUnconfirmed(targetState),
       isUnchecked: isUnchecked(targetState),
     };
   }
 
-  // Other hosts check the targets that are not preferred, and tell only a loss.
-  private isUnconfirmed(target: Target, targetState: TargetStatistics, now: number): boolean {
-    if (!this.parts.preference.has(target.id) && isUnchecked(targetState))
-      return now - targetState.announcedAt < FIRST_CHECK_TIME_MS;
-    return targetState.lostAt > targetState.confirmedHealthyAt;
-  }
-
   private requirementsOf(call: IncomingCall, mayWait: boolean): CallRequirements {
     const now = this.parts.clock.now();
     const { route } = call;
@@ -305,7 +228,7 @@
     for (const candidate of cold) {
       if (requirements.leftMs < requirements.workMs) return null;
       const target = this.parts.catalog().targets.get(candidate.target)!;
-      if (this.limitedForMs(target) > 0) continue;
+      if (this.admission.limitedForMs(target) > 0) continue;
       return {
         kind: 'send',
         target: candidate.target,
