--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -4,9 +4,7 @@
 import { type Timer } from '../runtime';
 import {
   type AttemptOutcome,
-  decideRetry,
   hedgeRecheckMs,
-  type RetryDecision,
   type Placement,
   type RefusalReason,
   retryAfter,
@@ -15,7 +13,8 @@
 } from '../placement';
 
 import { type RunningAttempt } from './runningAttempt';
-import { type AttemptResult, type ReceivedAnswer } from './attemptResult';
+import { AttemptHistory } from './attemptHistory';
+import { type AttemptResult } from './attemptResult';
 import { type CallEnd } from './callEnd';
 import { type CallEvent } from './callEvent';
 import { type DeliveryContext } from './deliveryContext';
@@ -47,16 +46,7 @@
 
   private recheckTimer: Timer | null = null;
 
-  /** Attempts whose request was sent. */
-  private sentAttempts = 0;
-
-  private unsentAttempts = 0;
-
-  private mayHaveRun = false;
-
-  private failedAnswer: ReceivedAnswer | null = null;
-
-  private failureMessage = '';
+  private readonly history: AttemptHistory;
 
   /** Why the call waits; null while it does not. */
   private waitReason: RefusalReason | null = null;
@@ -71,6 +61,7 @@
     private readonly call: IncomingCall,
   ) {
     this.placeableSince = context.clock.now();
+    this.history = new AttemptHistory(call);
   }
 
   /** Ends the task because the caller has closed the connection. */
@@ -214,23 +205,23 @@
   private handleAttemptEnd(attempt: RunningAttempt, result: AttemptResult): CallEnd | null {
     this.runningAttempts.delete(attempt);
     if (result.end === 'answered') return { kind: 'answer', answer: result.answer! };
-    if (result.end !== 'notSent') this.sentAttempts += 1;
-    else this.unsentAttempts += 1;
-    if (result.end === 'failed' || result.end === 'unknown') this.mayHaveRun = true;
-    if (result.answer !== null && result.end === 'failed') this.failedAnswer = result.answer;
-    this.failureMessage = result.message;
+    this.history.record(result);
     if (this.runningAttempts.size > 0) return null;
     return this.retryOrFinish(attempt, result.end);
   }
 
   private retryOrFinish(attempt: RunningAttempt, end: AttemptOutcome): CallEnd | null {
-    const step = this.decideNextStep(end);
+    const step = this.history.nextStep(end, {
+      leftMs: this.call.deadline - this.context.clock.now(),
+      workMs: this.workMs(),
+      isSuspect: this.context.crashes.isSuspect(this.call),
+    });
     const reason = this.refusalReasonAfter(attempt, end);
     this.context.events.emit(DELIVERY_EVENTS.attemptFailed, {
       call: this.call.id,
       end,
-      reason: this.failureMessage,
-      attempts: this.sentAttempts,
+      reason: this.history.message(),
+      attempts: this.history.sentAttempts(),
       step,
     });
     return match(step)
@@ -253,49 +244,16 @@
     return end === 'notRun' && hadFreeSlots ? 'refused' : 'overloaded';
   }
 
-  private decideNextStep(end: AttemptOutcome): RetryDecision {
-    const { route, body, deadline } = this.call;
-    const isBodyBuffered = body === null || Buffer.isBuffer(body);
-    if (!isBodyBuffered && end !== 'notSent') return 'finish';
-    if (this.context.crashes.isSuspect(this.call) && end === 'unknown') return 'finish';
-    return decideRetry(end, {
-      isIdempotent: route.isIdempotent,
-      attempts: this.sentAttempts,
-      mostAttempts: route.mostAttempts,
-      unsent: this.unsentAttempts,
-      leftMs: deadline - this.context.clock.now(),
-      workMs: this.workMs(),
-    });
-  }
-
   /** The final result of a call that is not sent again; null while another attempt still runs. */
   private finishWithoutRetry(reason: RefusalReason): CallEnd | null {
     if (this.runningAttempts.size > 0) return null;
-    if (!this.mayHaveRun) return this.refuse(reason);
-    if (this.failedAnswer !== null && this.mayForward(this.failedAnswer)) {
-      return { kind: 'answer', answer: this.failedAnswer };
-    }
-    return { kind: 'own', own: { kind: 'unknown', status: 502, detail: this.failureMessage } };
-  }
-
-  // Callers take 408, 421, 429 and 503 to mean that the call was not executed. A failure of a target
-  // does not prove that unless the target states it.
-  private mayForward({ head }: ReceivedAnswer): boolean {
-    return ![408, 421, 429, 503].includes(head.status);
+    return this.history.end() ?? this.refuse(reason);
   }
 
   private handleDeadline(): CallEnd {
-    if (
-      this.failedAnswer !== null &&
-      this.runningAttempts.size === 0 &&
-      this.mayForward(this.failedAnswer)
-    ) {
-      return { kind: 'answer', answer: this.failedAnswer };
-    }
-    const wasSent =
-      this.mayHaveRun || [...this.runningAttempts].some((attempt) => attempt.sentAt !== null);
-    if (!wasSent) return this.refuse('outOfTime');
-    return { kind: 'own', own: { kind: 'unknown', status: 504, detail: 'time limit reached' } };
+    const running = [...this.runningAttempts];
+    const hasSent = running.some(({ sentAt }) => sentAt !== null);
+    return this.history.endAtDeadline(running.length > 0, hasSent) ?? this.refuse('outOfTime');
   }
 
   private refuse(reason: RefusalReason): CallEnd {
