Keep the targets that leave in a collection of their own

Change: TargetStatisticsTable keeps them in a map that is updated when a target states it, starts again or is removed.

--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -40,6 +40,9 @@
 export class TargetStatisticsTable {
   private readonly statistics = new Map<string, TargetStatistics>();
 
+  /** The targets that have stated that they are leaving. */
+  private readonly leaving = new Map<string, LeavingTarget>();
+
   constructor(
     private readonly clock: Clock,
     private readonly inFlightTable: InFlightTable,
@@ -64,8 +67,11 @@
         previous.coldUntil = Math.max(previous.coldUntil, target.coldUntil);
       }
     }
-    for (const id of this.statistics.keys())
-      if (!catalog.targets.has(id)) this.statistics.delete(id);
+    for (const id of this.statistics.keys()) {
+      if (catalog.targets.has(id)) continue;
+      this.statistics.delete(id);
+      this.leaving.delete(id);
+    }
   }
 
   /** Applies a report of another host, a health check or an answer. */
@@ -107,12 +113,13 @@
     if (target === undefined || target.startedAt !== startedAt) return false;
     const isNews = target.quietUntil !== Infinity;
     target.quietUntil = Infinity;
+    this.leaving.set(id, { id, startedAt });
     return isNews;
   }
 
   /** The targets that have stated that they are leaving. */
   leavingTargets(): readonly LeavingTarget[] {
-    return [...this.statistics.values()].filter(({ quietUntil }) => quietUntil === Infinity);
+    return [...this.leaving.values()];
   }
 
   /** Records that a target wants no calls from this host for some time. */
@@ -245,6 +252,7 @@
 
   private begin(target: Target, previous: TargetStatistics | undefined): void {
     const now = this.clock.now();
+    this.leaving.delete(target.id);
     this.statistics.set(target.id, {
       id: target.id,
       key: previous?.key ?? identityKey(target.id),
