Look for lost targets among those that are not confirmed

Cause: ten times a second each host passed over the targets of all zones to find those that it uses and that are not confirmed healthy. Change: TargetStatisticsTable keeps the ids of the targets that are not confirmed, updated by reports and catalog changes. A tick passes over these, or over the targets that the host uses where they are fewer: in a large zone the targets of other zones are never confirmed.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -36,6 +36,7 @@
 import { type BalancerAdapter } from './balancerAdapter';
 import { TargetConditionLog } from './beliefLog';
 import { callShare, MIN_ASSUMED_HOSTS } from './callShare';
+import { confirmTargets } from './confirmTargets';
 import { createControlServer } from './controlServer';
 import { describeBalancer } from './describeBalancer';
 import { BALANCER_EVENTS } from './events';
@@ -484,7 +485,7 @@
       this.inFlightCounts.removeExpired();
       this.inFlightBroadcaster.refresh();
       if (this.subsets.refresh()) this.probes.assign();
-      this.probes.tick();
+      confirmTargets(this.targetStates, this.subsets, (target) => this.probes.check(target));
       metrics.gauge(BALANCER_METRICS.awaitedAddresses, this.addresses.waitingFor().length);
       metrics.gauge(BALANCER_METRICS.hosts, this.exchange.membership.live().length);
       this.reportCatalog();
--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -43,6 +43,9 @@
   /** The targets that have stated that they are leaving. */
   private readonly leaving = new Map<string, LeavingTarget>();
 
+  /** Ids of the targets that are not confirmed healthy since they were announced or lost. */
+  private readonly unconfirmedIds = new Set<string>();
+
   constructor(
     private readonly clock: Clock,
     private readonly inFlightTable: InFlightTable,
@@ -71,6 +74,7 @@
       if (catalog.targets.has(id)) continue;
       this.statistics.delete(id);
       this.leaving.delete(id);
+      this.unconfirmedIds.delete(id);
     }
   }
 
@@ -122,6 +126,11 @@
     return [...this.leaving.values()];
   }
 
+  /** Ids of the targets that are not confirmed healthy since they were announced or lost. */
+  unconfirmed(): ReadonlySet<string> {
+    return this.unconfirmedIds;
+  }
+
   /** Records that a target wants no calls from this host for some time. */
   recordQuiet(id: string, quietMs: number): void {
     const target = this.statistics.get(id);
@@ -215,12 +224,12 @@
   ): void {
     switch (report.observation) {
       case 'answer':
-        target.confirmedHealthyAt = Math.max(target.confirmedHealthyAt, observedAt);
+        this.recordHealthy(target, observedAt);
         this.recordResult(target, 0);
         if (observedAt > target.quietUntil) this.extendAllowance(target);
         break;
       case 'probe':
-        target.confirmedHealthyAt = Math.max(target.confirmedHealthyAt, observedAt);
+        this.recordHealthy(target, observedAt);
         target.isUnhealthy = false;
         break;
       case 'ill':
@@ -231,14 +240,25 @@
         break;
       case 'refusal':
         // The target is up, but only looks emptier than others because it runs nothing.
-        target.confirmedHealthyAt = Math.max(target.confirmedHealthyAt, observedAt);
+        this.recordHealthy(target, observedAt);
         this.recordResult(target, 1);
         break;
       default:
         target.lostAt = Math.max(target.lostAt, observedAt);
+        this.updateUnconfirmed(target);
     }
   }
 
+  private recordHealthy(target: TargetStatistics, observedAt: number): void {
+    target.confirmedHealthyAt = Math.max(target.confirmedHealthyAt, observedAt);
+    this.updateUnconfirmed(target);
+  }
+
+  private updateUnconfirmed({ id, lostAt, confirmedHealthyAt }: TargetStatistics): void {
+    if (lostAt > confirmedHealthyAt) this.unconfirmedIds.add(id);
+    else this.unconfirmedIds.delete(id);
+  }
+
   private extendAllowance(target: TargetStatistics): void {
     const extended = target.callAllowance * ALLOWANCE_GROWTH;
     target.callAllowance = extended > target.slots ? Infinity : extended;
@@ -253,6 +273,7 @@
   private begin(target: Target, previous: TargetStatistics | undefined): void {
     const now = this.clock.now();
     this.leaving.delete(target.id);
+    this.unconfirmedIds.add(target.id);
     this.statistics.set(target.id, {
       id: target.id,
       key: previous?.key ?? identityKey(target.id),
--- a/src/knowledge/targetSubsets.ts
+++ b/src/knowledge/targetSubsets.ts
@@ -80,6 +80,11 @@
     return !this.isActive() || this.ownTargets.has(target);
   }
 
+  /** Targets that this host uses before others; null for all. */
+  usedTargets(): ReadonlySet<string> | null {
+    return this.isActive() ? this.ownTargets : null;
+  }
+
   /** Whether this host checks the health of the target; one host of the target's zone does. */
   isProber(target: string): boolean {
     return this.probers.get(target) === this.view.hostId;
--- a/test/knowledge/periodicWork.test.ts
+++ b/test/knowledge/periodicWork.test.ts
@@ -1,5 +1,6 @@
+import { confirmTargets } from '../../src/balancer/confirmTargets';
 import { NoticeGossip } from '../../src/exchange/noticeGossip';
-import { InFlightTable, TargetStatisticsTable } from '../../src/knowledge';
+import { InFlightTable, TargetStatisticsTable, TargetSubsets } from '../../src/knowledge';
 import { ManualClock, SeededRandom } from '../../src/runtime';
 
 const TARGETS = 200;
@@ -66,4 +67,29 @@
     table.applyCatalog(catalogOf(2));
     expect(table.leavingTargets()).toEqual([]);
   });
+
+  // Guards against the processor time of a search for lost targets among all of them, ten times a
+  // second, and against a lost target that is not checked.
+  it.each([3, 38])('checks the lost targets that it uses among %d hosts', (size) => {
+    const hosts = Array.from({ length: size }, (_, index) => `host-${index}`);
+    const subsets = new TargetSubsets({ hostId: 'host-1', zone: 'a', hosts: () => hosts });
+    subsets.refresh();
+    subsets.applyCatalog(catalogOf(1));
+    const ids = Array.from({ length: TARGETS }, (_, index) => `i-${index}`);
+    const report = { age: 0, running: 0, waiting: 0, pace: 100, coldLeft: null, callLimit: null };
+    const checked = () => {
+      const found: string[] = [];
+      confirmTargets(table, subsets, (id) => found.push(id));
+      return found.sort();
+    };
+    const used = ids.filter((id) => subsets.has(id)).sort();
+    expect(checked()).toEqual(used);
+    for (const target of ids) table.applyReport({ ...report, target, observation: 'probe' });
+    clock.advanceBy(100);
+    table.applyReport({ ...report, target: used[0]!, observation: 'lost' });
+    countReads();
+    expect([checked(), reads]).toEqual([[used[0]], 0]);
+    table.applyCatalog(catalogOf(1, 0));
+    expect(checked()).toEqual([]);
+  });
 });
