Forget hosts that were replaced

Change: hosts that were silent for two hours, and are contacted no more, are removed; so are the scores of hosts that have left the zone.

--- a/src/exchange/membership.ts
+++ b/src/exchange/membership.ts
@@ -157,11 +157,12 @@
    * zones without a live host. They may be partitioned from this host or have restarted.
    */
   silentHosts(): readonly HostAddress[] {
+    this.forgetOldHosts();
     const now = this.clock.now();
     const liveZones = new Set(this.live().map((host) => host.zone));
     return [...this.hosts.values()].filter((host) => {
       const isMissing = host.zone === this.self.zone ? host.isDirect : !liveZones.has(host.zone);
-      return isMissing && !this.isLive(host, now) && now - host.receivedAt < SILENT_RETENTION_MS;
+      return isMissing && !this.isLive(host, now);
     });
   }
 
@@ -172,6 +173,16 @@
     return this.maxLiveHosts;
   }
 
+  // Hosts are replaced under new ids, so that those of all days would be passed over otherwise.
+  private forgetOldHosts(): void {
+    const oldest = this.clock.now() - SILENT_RETENTION_MS;
+    for (const { id, receivedAt } of this.hosts.values()) {
+      if (receivedAt > oldest) continue;
+      this.hosts.delete(id);
+      this.idsByKey.delete(identityKey(id));
+    }
+  }
+
   private isLive(host: KnownHost, now: number): boolean {
     const ageMs = now - host.receivedAt;
     const neighbourCount = this.liveNeighbours.length;
--- a/src/knowledge/targetSubsets.ts
+++ b/src/knowledge/targetSubsets.ts
@@ -60,6 +60,7 @@
     const isSame =
       hosts.length === this.hosts.length && hosts.every((id, at) => id === this.hosts[at]);
     if (isSame) return false;
+    this.forgetScoresOf(this.hosts.filter((id) => !hosts.includes(id)));
     this.hosts = hosts;
     this.assign();
     return true;
@@ -136,6 +137,10 @@
     this.meanOtherSharers = this.averageOtherSharers();
   }
 
+  private forgetScoresOf(goneHosts: readonly string[]): void {
+    for (const scores of this.scores.values()) for (const host of goneHosts) scores.delete(host);
+  }
+
   private averageOtherSharers(): number {
     const counts = [...this.ownTargets].map((target) => this.sharers.get(target)!.length - 1);
     const total = counts.reduce((sum, count) => sum + count, 0);
