--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -40,6 +40,12 @@
 export class TargetStatisticsTable {
   private readonly statistics = new Map<string, TargetStatistics>();
 
+  /** The targets that have stated that they are leaving. */
+  private readonly leaving = new Map<string, LeavingTarget>();
+
+  /** Ids of the targets that are not confirmed healthy since they were announced or lost. */
+  private readonly unconfirmedIds = new Set<string>();
+
   constructor(
     private readonly clock: Clock,
     private readonly inFlightTable: InFlightTable,
@@ -64,8 +70,12 @@
         previous.coldUntil = Math.max(previous.coldUntil, target.coldUntil);
       }
     }
-    for (const id of this.statistics.keys())
-      if (!catalog.targets.has(id)) this.statistics.delete(id);
+    for (const id of this.statistics.keys()) {
+      if (catalog.targets.has(id)) continue;
+      this.statistics.delete(id);
+      this.leaving.delete(id);
+      this.unconfirmedIds.delete(id);
+    }
   }
 
   /** Applies a report of another host, a health check or an answer. */
@@ -107,12 +117,18 @@
     if (target === undefined || target.startedAt !== startedAt) return false;
     const isNews = target.quietUntil !== Infinity;
     target.quietUntil = Infinity;
+    this.leaving.set(id, { id, startedAt });
     return isNews;
   }
 
   /** The targets that have stated that they are leaving. */
   leavingTargets(): readonly LeavingTarget[] {
-    return [...this.statistics.values()].filter(({ quietUntil }) => quietUntil === Infinity);
+    return [...this.leaving.values()];
+  }
+
+  /** Ids of the targets that are not confirmed healthy since they were announced or lost. */
+  unconfirmed(): ReadonlySet<string> {
+    return this.unconfirmedIds;
   }
 
   /** Records that a target wants no calls from this host for some time. */
@@ -208,12 +224,12 @@
   ): void {
     switch (report.observation) {
       case 'answer':
-        target.confirmedHealthyAt = Math.max(target.confirmedHealthyAt, observedAt);
+        this.recordHealthy(target, observedAt);
         this.recordResult(target, 0);
         if (observedAt > target.quietUntil) this.extendAllowance(target);
         break;
       case 'probe':
-        target.confirmedHealthyAt = Math.max(target.confirmedHealthyAt, observedAt);
+        this.recordHealthy(target, observedAt);
         target.isUnhealthy = false;
         break;
       case 'ill':
@@ -224,14 +240,25 @@
         break;
       case 'refusal':
         // The target is up, but only looks emptier than others because it runs nothing.
-        target.confirmedHealthyAt = Math.max(target.confirmedHealthyAt, observedAt);
+        this.recordHealthy(target, observedAt);
         this.recordResult(target, 1);
         break;
       default:
         target.lostAt = Math.max(target.lostAt, observedAt);
+        this.updateUnconfirmed(target);
     }
   }
 
+  private recordHealthy(target: TargetStatistics, observedAt: number): void {
+    target.confirmedHealthyAt = Math.max(target.confirmedHealthyAt, observedAt);
+    this.updateUnconfirmed(target);
+  }
+
+  private updateUnconfirmed({ id, lostAt, confirmedHealthyAt }: TargetStatistics): void {
+    if (lostAt > confirmedHealthyAt) this.unconfirmedIds.add(id);
+    else this.unconfirmedIds.delete(id);
+  }
+
   private extendAllowance(target: TargetStatistics): void {
     const extended = target.callAllowance * ALLOWANCE_GROWTH;
     target.callAllowance = extended > target.slots ? Infinity : extended;
@@ -245,6 +272,8 @@
 
   private begin(target: Target, previous: TargetStatistics | undefined): void {
     const now = this.clock.now();
+    this.leaving.delete(target.id);
+    this.unconfirmedIds.add(target.id);
     this.statistics.set(target.id, {
       id: target.id,
       key: previous?.key ?? identityKey(target.id),
--- a/src/knowledge/targetSubsets.ts
+++ b/src/knowledge/targetSubsets.ts
@@ -60,6 +60,7 @@
     const isSame =
       hosts.length === this.hosts.length && hosts.every((id, at) => id === this.hosts[at]);
     if (isSame) return false;
+    this.forgetScoresOf(this.hosts.filter((id) => !hosts.includes(id)));
     this.hosts = hosts;
     this.assign();
     return true;
@@ -80,6 +81,11 @@
     return !this.isActive() || this.ownTargets.has(target);
   }
 
+  /** Targets that this host uses before others; null for all. */
+  usedTargets(): ReadonlySet<string> | null {
+    return this.isActive() ? this.ownTargets : null;
+  }
+
   /** Whether this host checks the health of the target; one host of the target's zone does. */
   isProber(target: string): boolean {
     return this.probers.get(target) === this.view.hostId;
@@ -131,6 +137,10 @@
     this.meanOtherSharers = this.averageOtherSharers();
   }
 
+  private forgetScoresOf(goneHosts: readonly string[]): void {
+    for (const scores of this.scores.values()) for (const host of goneHosts) scores.delete(host);
+  }
+
   private averageOtherSharers(): number {
     const counts = [...this.ownTargets].map((target) => this.sharers.get(target)!.length - 1);
     const total = counts.reduce((sum, count) => sum + count, 0);
