Keep the output of each seed of a soak

SOAK_OUTPUT named a file for each host, so that the next seed of the same run overwrote the log of the one that had failed. The file now has the seed in its name.

--- a/soak/balancers/runFaultSoak.ts
+++ b/soak/balancers/runFaultSoak.ts
@@ -48,7 +48,7 @@
   readonly signalAfterMs: number;
   /** Arguments of Node.js for each host; null for the program as built. */
   readonly command: readonly string[] | null;
-  /** Folder for the output of the processes, a file for each host; null for none. */
+  /** Folder for the output of the processes, a file for each seed and host; null for none. */
   readonly outputFolder: string | null;
 }
 
@@ -113,7 +113,8 @@
   try {
     await fleet.start();
     for (const balancer of fleet.balancers) {
-      const file = outputFolder && join(outputFolder, `${balancer.settings['host-id']}.log`);
+      const name = `seed-${seed}-${balancer.settings['host-id']}.log`;
+      const file = outputFolder && join(outputFolder, name);
       const copy = file === null ? null : createWriteStream(file);
       hosts.push(new SoakHost(balancer, GRACE_S * 1000, log, copy));
     }
