--- a/src/delivery/attemptHistory.ts
+++ b/src/delivery/attemptHistory.ts
@@ -69,7 +69,9 @@
   end(): CallEnd | null {
     if (!this.mayHaveRun) return null;
     const detail = this.failureMessage;
-    return this.forwardedFailure() ?? { kind: 'own', own: { kind: 'unknown', status: 502, detail } };
+    return (
+      this.forwardedFailure() ?? { kind: 'own', own: { kind: 'unknown', status: 502, detail } }
+    );
   }
 
   /** The end of a call at its deadline; null if it was not sent. `hasSent`: a running attempt was. */
