Measure what notices of leaving targets cost

Change: the exchange model has target states, and test/exchange/noticeBytes lets targets leave one after the other. CAPACITY.md has the bytes at 17, 113 and 312 hosts and all periodic work of a host with its slope. Conclusion: the slope is 160 to 190 B/s for a target a second and does not grow with the hosts, so that all hosts are still told.

--- a/scripts/docs/capacityPage.ts
+++ b/scripts/docs/capacityPage.ts
@@ -1,47 +1,7 @@
+import { BALANCER_CAPACITY } from './balancerCapacity';
 import { figure, readMeasurement, slope } from './readMeasurement';
 import { table } from './table';
 
-const BALANCER = `## The balancer on the users' platform
-
-Bytes between hosts at rest, in simulated time with three zones and two of three seeds out of date
-(\`test/exchange/simulatedHosts.ts\`); a host's datagrams, without UDP headers.
-
-| hosts | mean B/s | largest B/s of a host | datagrams/s |
-| --- | --- | --- | --- |
-| 3 | 364 | 364 | 4.0 |
-| 17 | 2,157 | 4,207 | 27.5 |
-| 33 | 3,791 | 9,300 | 54.0 |
-| 60 | 4,377 | 9,966 | 68.5 |
-| 113 | 4,833 | 11,988 | 75.3 |
-
-The mean stays within 6 KB/s up to 113 hosts. The host that passes on what other zones say goes beyond
-it from 33 hosts on, and 400 hosts in three zones need 19.1 KB/s (measured before silent hosts were
-asked): heartbeats to all of a zone of 133 do not fit, and the shape for 400 is not built. Reports on
-targets come on top; they grow with the targets that a host probes, not with the hosts of other zones.
-
-With 22 calls a second on each host, heartbeats included (\`PRINT_BYTES=1 npx jest test/exchange\`):
-
-| hosts | neighbours | mean B/s | largest B/s of a host |
-| --- | --- | --- | --- |
-| 3 | 0 | 1,084 | 1,124 |
-| 17 | 5 | 8,464 | 16,593 |
-| 33 | 10 | 3,791 | 7,200 |
-| 113 | 37 | 4,835 | 12,469 |
-
-Counts of calls in flight make up the difference; they exceed 6 KB/s at 17 hosts. Zones of more than 9
-hosts tell none, so that 33 and 113 hosts send what they send at rest; what that costs in answers at these
-sizes is not measured. One day of dvwda-gully-grown (113 hosts), before these changes, took 0.08 cores a
-host and more processor time than the bench allows a day; it has not been run since.
-Processor time on the users' bench rose from 0.087 to 0.098 cores a host at saryarka-gate
-(trouble-2 and scale-2, 13 hosts) and from 0.12 to 0.155 at dvwda-gully (scale-1, 17 hosts).
-
-On the users' bench, 17 hosts and 39 targets, quiet-1 of dvwda-gully: 0.055 cores and 55.8 MB a host,
-114 store calls in 42 s for all hosts. 5.5% of a core is above 1.5%: probes and answers at 20 a second a
-target make up most of it. The mechanisms: one reader a zone for the store, one prober a target, all-to-
-all datagrams in a zone only. The sweep to 300 hosts
-was not run; of the grown sites one day of a twin with 19 hosts: 0.056 cores and 66 MB a host.
-`;
-
 const CALLS_PER_SECOND = 690_000;
 const TARGETS = 7100;
 const SERVICES = 250;
@@ -216,5 +176,5 @@
 - Several regions in one sheet are covered by tests of the assignment of owners only.
 - Relays between regions are not built: a service without targets in a region is refused there.
 
-${BALANCER}`;
+${BALANCER_CAPACITY}`;
 }
--- a/test/exchange/simulatedFleet.ts
+++ b/test/exchange/simulatedFleet.ts
@@ -65,6 +65,12 @@
     this.source.publish(`i-${index}`, target(`i-${index}`, 1 + this.random.integer(9)));
   }
 
+  /** Publishes a target of zone a with this id, which began at this Unix time. */
+  startTarget(id: string, startedAt: number): void {
+    const { target: usual } = target(id, 6) as Extract<CatalogFact, { kind: 'target' }>;
+    this.source.publish(id, { kind: 'target', target: { ...usual, startedAt } });
+  }
+
   /** Changes one of the targets that the tests never remove. */
   changeAnyTarget(): void {
     this.changeTarget(this.random.integer(TARGETS - 10));
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -5,6 +5,7 @@
   InFlightTable,
   isLargeZone,
   type TargetReport,
+  TargetStatisticsTable,
 } from '../../src/knowledge';
 import { type ManualClock, type Random, SeededRandom, waitUntil } from '../../src/runtime';
 import { CatalogReader, mustRead } from '../../src/source';
@@ -27,6 +28,7 @@
   readonly reader: CatalogReader | null;
   readonly inFlightTable: InFlightTable;
   readonly crashTable: CrashTable;
+  readonly targetStates: TargetStatisticsTable;
   readonly inFlightBroadcaster: InFlightBroadcaster;
   sentBytes: number;
   sentDatagrams: number;
@@ -55,6 +57,11 @@
   /** Whether datagrams from one host to another are dropped. */
   isCut: (from: HostAddress, to: HostAddress) => boolean = () => false;
 
+  /** Called with each datagram that a host sends. */
+  onSend: (bytes: Buffer, from: string) => void = () => {};
+
+  private readonly hostsByIp = new Map<string, SimulatedHost>();
+
   private readonly listeners = new Map<string, (bytes: Buffer, fromIp: string) => void>();
 
   private nextIncarnation = 0;
@@ -85,6 +92,8 @@
     };
     const inFlightTable = new InFlightTable(this.clock);
     const crashTable = new CrashTable(this.clock);
+    const targetStates = new TargetStatisticsTable(this.clock, inFlightTable, () => {});
+    ledger.onChange((catalog) => targetStates.applyCatalog(catalog));
     const inFlightBroadcaster = new InFlightBroadcaster(this.clock, id, {
       broadcastInFlightCounts: (counts, isCrossZone) =>
         this.hosts.get(id)!.exchange.broadcastInFlightCounts(counts, isCrossZone),
@@ -108,9 +117,13 @@
         for (const count of counts) inFlightTable.apply(count);
         if (shouldRebroadcast) inFlightBroadcaster.rebroadcast(counts);
       },
-      notices: () => ({ crashes: crashTable.histories(), leaving: [] }),
-      onNotices: ({ crashes }) => {
+      notices: () => ({
+        crashes: crashTable.histories(),
+        leaving: targetStates.leavingTargets(),
+      }),
+      onNotices: ({ crashes, leaving }) => {
         for (const history of crashes) crashTable.apply(history);
+        for (const target of leaving) targetStates.recordLeaving(target);
       },
     });
     const host: SimulatedHost = {
@@ -118,6 +131,7 @@
       inFlightTable,
       inFlightBroadcaster,
       crashTable,
+      targetStates,
       ledger,
       exchange,
       reports,
@@ -128,6 +142,7 @@
       pullsServed: 0,
     };
     this.hosts.set(id, host);
+    this.hostsByIp.set(ip, host);
     exchange.start();
     void host.reader?.run();
     return host;
@@ -183,17 +198,14 @@
     });
   }
 
-  private byIp(ip: string): SimulatedHost | undefined {
-    return [...this.hosts.values()].find((host) => host.address.ip === ip);
-  }
-
   private send(from: HostAddress, toIp: string, bytes: Buffer): void {
     const sender = this.hosts.get(from.id);
     if (sender !== undefined) {
       sender.sentBytes += bytes.length;
       sender.sentDatagrams += 1;
     }
-    const to = this.byIp(toIp);
+    this.onSend(bytes, from.id);
+    const to = this.hostsByIp.get(toIp);
     if (to === undefined || to.isDown || this.isCut(from, to.address)) return;
     if (this.random.next() < this.lossRatio) return;
     const delay = to.address.zone === from.zone ? SAME_ZONE_LATENCY_MS : CROSS_ZONE_LATENCY_MS;
