Split the statistics of targets into observations and wishes

No behaviour changes. targetObservations has the initial state, health and failures of a target, targetWishes the times without calls and the limits that it states; the table keeps the targets, their load and who is leaving or unconfirmed.

--- a/src/knowledge/index.ts
+++ b/src/knowledge/index.ts
@@ -1,6 +1,7 @@
 export { type TargetReport, type ObservationKind } from './targetReport';
 export { type TargetStatistics, isUnchecked } from './targetStatistics';
-export { TargetStatisticsTable, USUAL_PACE_PERCENT } from './targetStatisticsTable';
+export { USUAL_PACE_PERCENT } from './targetObservations';
+export { TargetStatisticsTable } from './targetStatisticsTable';
 export { type CrashHistory } from './crashHistory';
 export { type InFlightCounts } from './inFlightCounts';
 export { identityKey } from './identityKey';
--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -4,17 +4,11 @@
 import { type InFlightListener } from './inFlightListener';
 import { type InFlightTable } from './inFlightTable';
 import { type LeavingTarget } from './leavingTarget';
-import { identityKey } from './identityKey';
+import { applyObservation, decayedFailureShare, initialStatistics } from './targetObservations';
 import { type TargetStatistics } from './targetStatistics';
 import { type TargetReport } from './targetReport';
+import { knownCallLimit, quietForMs, recordCallLimit, recordQuiet } from './targetWishes';
 
-/** Pace assumed for a target without reports, in percent of the usual latency. */
-export const USUAL_PACE_PERCENT = 100;
-
-// Weight of a result in the moving average of failures: about the last eight results count.
-const FAILURE_SMOOTHING_WEIGHT = 0.12;
-// Failures are discounted over time, so that a target that failed is used again after some seconds.
-const FAILURE_HALF_LIFE_MS = 2000;
 // An older load report cannot be compared with the calls that are in flight now.
 const MAX_LOAD_REPORT_AGE_MS = 20;
 // Without in-flight broadcasts, reports are the only source for the load of other hosts; they are
@@ -23,18 +17,8 @@
 // Calls that no host has broadcast, such as those of a partitioned host, are assumed to run for
 // this long unless a later report shows them again.
 const UNATTRIBUTED_CALLS_LIFETIME_MS = 250;
-// Only an answer to a call shows that a limit has ended, so a target is called from time to time.
-const MIN_CALL_LIMIT = 0.2;
-// A limit is forgotten when it was not stated for this long.
-const CALL_LIMIT_LIFETIME_MS = 60_000;
 // With this many slots left at a target, other hosts must know of a call before they choose it.
 const URGENT_FREE_SLOTS = 1;
-// A stated time without calls is bounded, so that a wrong value does not take a target out for good.
-const MAX_QUIET_MS = 60 * 60 * 1000;
-// Growth of the calls in flight at a target that has asked for none, for each answer afterwards.
-const ALLOWANCE_GROWTH = 2;
-// A call at a target that takes few may end at any moment.
-const FULL_ALLOWANCE_DELAY_MS = 1;
 
 /** Statistics of targets, from the latest observations of this host and of the others. */
 export class TargetStatisticsTable {
@@ -94,17 +78,9 @@
       );
       target.loadAt = observedAt;
     }
-    if (report.pace !== null && observedAt > target.paceAt) {
-      target.pace = report.pace;
-      target.paceAt = observedAt;
-    }
-    if (report.coldLeft !== null)
-      target.coldUntil = Math.max(target.coldUntil, observedAt + report.coldLeft);
-    if (report.callLimit !== null && observedAt >= target.callLimitAt) {
-      target.callLimit = report.callLimit;
-      target.callLimitAt = observedAt;
-    }
-    this.applyObservation(target, report, observedAt);
+    recordCallLimit(target, report, observedAt);
+    applyObservation(target, report, observedAt, this.clock.now());
+    this.updateUnconfirmed(target);
   }
 
   /**
@@ -134,10 +110,7 @@
   /** Records that a target wants no calls from this host for some time. */
   recordQuiet(id: string, quietMs: number): void {
     const target = this.statistics.get(id);
-    if (target === undefined || quietMs <= 0) return;
-    const until = this.clock.now() + Math.min(quietMs, MAX_QUIET_MS);
-    target.quietUntil = Math.max(target.quietUntil, until);
-    target.callAllowance = 1;
+    if (target !== undefined) recordQuiet(target, quietMs, this.clock.now());
   }
 
   /** Whether a target wants no calls from this host now. */
@@ -156,12 +129,7 @@
    */
   quietForMs(id: string): number {
     const target = this.statistics.get(id);
-    if (target === undefined) return 0;
-    const isAllowanceUsed = target.ownInFlight >= target.callAllowance;
-    return Math.max(
-      target.quietUntil - this.clock.now(),
-      isAllowanceUsed ? FULL_ALLOWANCE_DELAY_MS : 0,
-    );
+    return target === undefined ? 0 : quietForMs(target, this.clock.now());
   }
 
   /** Records that this host sent a call to the target. */
@@ -200,9 +168,8 @@
    * Calls per second that the target takes from all hosts; Infinity without a limit. A limit that was
    * not stated again for some time is no longer known to hold.
    */
-  callLimit({ callLimit, callLimitAt }: TargetStatistics): number {
-    const isKnown = this.clock.now() - callLimitAt < CALL_LIMIT_LIFETIME_MS;
-    return isKnown ? Math.max(callLimit, MIN_CALL_LIMIT) : Infinity;
+  callLimit(target: TargetStatistics): number {
+    return knownCallLimit(target, this.clock.now());
   }
 
   /** Whether a report states another limit of calls than is known. */
@@ -213,45 +180,7 @@
 
   /** Share of recent calls that failed, decayed by the time since the last result. */
   failureShare(target: TargetStatistics): number {
-    const age = this.clock.now() - target.failureAt;
-    return target.failureShare * 0.5 ** (age / FAILURE_HALF_LIFE_MS);
-  }
-
-  private applyObservation(
-    target: TargetStatistics,
-    report: TargetReport,
-    observedAt: number,
-  ): void {
-    switch (report.observation) {
-      case 'answer':
-        this.recordHealthy(target, observedAt);
-        this.recordResult(target, 0);
-        if (observedAt > target.quietUntil) this.extendAllowance(target);
-        break;
-      case 'probe':
-        this.recordHealthy(target, observedAt);
-        target.isUnhealthy = false;
-        break;
-      case 'ill':
-        target.isUnhealthy = true;
-        break;
-      case 'failure':
-        this.recordResult(target, 1);
-        break;
-      case 'refusal':
-        // The target is up, but only looks emptier than others because it runs nothing.
-        this.recordHealthy(target, observedAt);
-        this.recordResult(target, 1);
-        break;
-      default:
-        target.lostAt = Math.max(target.lostAt, observedAt);
-        this.updateUnconfirmed(target);
-    }
-  }
-
-  private recordHealthy(target: TargetStatistics, observedAt: number): void {
-    target.confirmedHealthyAt = Math.max(target.confirmedHealthyAt, observedAt);
-    this.updateUnconfirmed(target);
+    return decayedFailureShare(target, this.clock.now());
   }
 
   private updateUnconfirmed({ id, lostAt, confirmedHealthyAt }: TargetStatistics): void {
@@ -259,44 +188,9 @@
     else this.unconfirmedIds.delete(id);
   }
 
-  private extendAllowance(target: TargetStatistics): void {
-    const extended = target.callAllowance * ALLOWANCE_GROWTH;
-    target.callAllowance = extended > target.slots ? Infinity : extended;
-  }
-
-  private recordResult(target: TargetStatistics, failure: number): void {
-    const share = this.failureShare(target);
-    target.failureShare = share + FAILURE_SMOOTHING_WEIGHT * (failure - share);
-    target.failureAt = this.clock.now();
-  }
-
   private begin(target: Target, previous: TargetStatistics | undefined): void {
-    const now = this.clock.now();
     this.leaving.delete(target.id);
     this.unconfirmedIds.add(target.id);
-    this.statistics.set(target.id, {
-      id: target.id,
-      key: previous?.key ?? identityKey(target.id),
-      service: target.service,
-      slots: target.slots,
-      startedAt: target.startedAt,
-      unattributedCalls: 0,
-      loadAt: -Infinity,
-      pace: USUAL_PACE_PERCENT,
-      paceAt: -Infinity,
-      ownInFlight: previous?.ownInFlight ?? 0,
-      coldUntil: target.coldUntil,
-      callLimit: Infinity,
-      callLimitAt: -Infinity,
-      quietUntil: -Infinity,
-      callAllowance: Infinity,
-      failureShare: 0,
-      failureAt: now,
-      confirmedHealthyAt: -Infinity,
-      announcedAt: now,
-      // A restarted target must first be confirmed healthy by a health check.
-      lostAt: previous === undefined ? 0 : now,
-      isUnhealthy: false,
-    });
+    this.statistics.set(target.id, initialStatistics(target, previous, this.clock.now()));
   }
 }
