Split the balancer into its parts

No behaviour changes. Balancer composes FleetKnowledge (what a host knows and tells), CallPath (calls and health checks) and the reader of the source; openAddresses and startTicks have the openings in their order and the periodic work. Shown: callPath, leavingNotices, plannedStop, signals, startUp, process, processEnd, heldAddresses, build, restartedHost, targetWishes, platformWords and settingsAtStart of test/balancer, and test/docs: 69 tests passed.

--- /dev/null
+++ b/src/balancer/balancerParts.ts
@@ -0,0 +1,21 @@
+import { type Lifecycle } from '../lifecycle';
+import { type EventSink } from '../logging';
+import { type PrometheusSink } from '../metrics';
+import { type Clock, type Random } from '../runtime';
+import { type BalancerSettings } from '../settings';
+
+import { type BalancerAdapter } from './balancerAdapter';
+
+/** Settings and dependencies of a balancer. */
+export interface BalancerParts {
+  readonly settings: BalancerSettings;
+  /** The newest settings; seeds and addresses that are not open yet are taken from them. */
+  readonly currentSettings: () => BalancerSettings;
+  readonly adapter: BalancerAdapter;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly events: EventSink;
+  readonly metrics: PrometheusSink;
+  readonly lifecycle: Lifecycle;
+  readonly droppedLines: () => number;
+}
--- /dev/null
+++ b/src/balancer/callPath.ts
@@ -0,0 +1,165 @@
+import { type Catalog } from '../catalog';
+import {
+  type CallEnd,
+  CallServer,
+  CrashGuard,
+  Delivery,
+  type IncomingCall,
+  MemoryAccount,
+  Placer,
+  ProbeTable,
+} from '../delivery';
+import { LastSlotSlowdowns, type LeavingTarget, WorkEstimates } from '../knowledge';
+
+import { type BalancerParts } from './balancerParts';
+import { callShare, MIN_ASSUMED_HOSTS } from './callShare';
+import { type FleetKnowledge } from './fleetKnowledge';
+import { BALANCER_METRICS } from './metrics';
+
+const BYTES_PER_MEGABYTE = 1024 * 1024;
+// Calls hold at most this share of the memory; the heap with all else takes the rest.
+const CALL_MEMORY_SHARE = 1 / 4;
+// Each call needs a connection of its caller and one to a target; the rest is for health checks, other
+// hosts and files.
+const CALLER_DESCRIPTOR_SHARE = 0.45;
+
+/** What calls need to know beside the targets. */
+export interface CallPathSources {
+  readonly catalog: () => Catalog;
+  readonly knowledge: FleetKnowledge;
+  /** Monotonic time by which the last answer must be sent; Infinity unless the host is stopping. */
+  readonly stopDeadline: () => number;
+}
+
+/** The way of calls from callers to targets, and the health checks of the targets. */
+export class CallPath {
+  readonly calls: CallServer;
+
+  readonly probes: ProbeTable;
+
+  private readonly delivery: Delivery;
+
+  constructor(
+    private readonly parts: BalancerParts,
+    private readonly sources: CallPathSources,
+  ) {
+    const { clock, random, events, settings, adapter } = parts;
+    const { catalog } = sources;
+    const { protocol } = adapter;
+    const memory = new MemoryAccount(
+      settings['memory-limit-mb'] * BYTES_PER_MEGABYTE * CALL_MEMORY_SHARE,
+    );
+    this.probes = this.makeProbes();
+    this.delivery = this.makeDelivery(memory);
+    this.calls = new CallServer({
+      ...{ clock, random, events, protocol, catalog, context: this.delivery },
+      observer: { onEnd: (call, end, elapsedMs) => this.countCall(call, end, elapsedMs) },
+      memory,
+      maxConnections: Math.floor(settings['descriptor-limit'] * CALLER_DESCRIPTOR_SHARE),
+    });
+  }
+
+  /** Takes over the targets and routes of a changed catalog. */
+  applyCatalog(catalog: Catalog): void {
+    this.delivery.applyCatalog(catalog);
+    this.probes.applyCatalog(catalog);
+    this.calls.applyCatalog(catalog);
+  }
+
+  /** Closes the connections to targets. */
+  closeConnections(): void {
+    this.delivery.close();
+  }
+
+  private makeProbes(): ProbeTable {
+    const { clock, adapter, metrics } = this.parts;
+    const { catalog, knowledge } = this.sources;
+    const { targetStates, subsets } = knowledge;
+    return new ProbeTable(
+      {
+        ...{ clock, protocol: adapter.protocol, catalog, targetStates },
+        onOpened: () => this.countConnection(),
+        onReport: (report) => knowledge.applyAndBroadcast(report),
+        onLeaving: (target) => this.tellLeaving(target),
+        onProbe: () => metrics.increment(BALANCER_METRICS.probes),
+      },
+      {
+        isProber: (target) => subsets.isProber(target.id),
+        isUser: (target) => subsets.has(target.id),
+      },
+    );
+  }
+
+  private makePlacer(): Placer {
+    const { clock, random, settings } = this.parts;
+    const { catalog, knowledge, stopDeadline } = this.sources;
+    const { zone } = settings;
+    return new Placer({
+      ...{ clock, random, catalog, zone, targetStates: knowledge.targetStates },
+      work: new WorkEstimates(),
+      lastSlotSlowdowns: new LastSlotSlowdowns(),
+      preference: knowledge.subsets,
+      isConnected: (target) => this.delivery.isConnected(target),
+      callShare: (target, rate) =>
+        stopDeadline() !== Infinity
+          ? 0
+          : callShare(target.id, target.zone === zone, rate, knowledge.fleetSize(target.id)),
+    });
+  }
+
+  private makeCrashGuard(): CrashGuard {
+    const { clock, events } = this.parts;
+    const { exchange, crashTable, targetStates } = this.sources.knowledge;
+    return new CrashGuard(
+      clock,
+      crashTable,
+      events,
+      { broadcastCrashes: (history) => exchange.broadcastNotices({ crashes: [history] }) },
+      (target, at) => (targetStates.get(target)?.lostAt ?? Infinity) > at,
+    );
+  }
+
+  private makeDelivery(memory: MemoryAccount): Delivery {
+    const { clock, random, events, settings, adapter, metrics } = this.parts;
+    const { catalog, knowledge, stopDeadline } = this.sources;
+    const { targetStates, exchange } = knowledge;
+    return new Delivery({
+      ...{ memory, clock, random, events, catalog, targetStates, stopDeadline },
+      protocol: adapter.protocol,
+      placer: this.makePlacer(),
+      crashes: this.makeCrashGuard(),
+      retryBudgetLimits: {
+        ratio: settings['retry-ratio'],
+        slack: settings['retry-slack'],
+        windowMs: settings['retry-window-s'] * 1000,
+      },
+      hostCount: () => Math.max(MIN_ASSUMED_HOSTS, exchange.membership.maxLiveHostCount()),
+      onReport: (report) => knowledge.applyAndBroadcast(report),
+      onUnexpectedClose: (target) => this.probes.check(target),
+      onLeaving: (target) => this.tellLeaving(target),
+      counters: {
+        attempt: (service) => metrics.increment(BALANCER_METRICS.attempts, 1, { service }),
+        retry: (service) => metrics.increment(BALANCER_METRICS.retries, 1, { service }),
+        connection: () => this.countConnection(),
+        attemptTime: (service, milliseconds) =>
+          metrics.timing(BALANCER_METRICS.attemptTime, milliseconds, { service }),
+      },
+    });
+  }
+
+  private tellLeaving(target: LeavingTarget): void {
+    this.sources.knowledge.exchange.broadcastNotices({ leaving: [target] });
+  }
+
+  private countConnection(): void {
+    this.parts.metrics.increment(BALANCER_METRICS.connections);
+  }
+
+  private countCall(call: IncomingCall | null, end: CallEnd, elapsedMs: number): void {
+    const { metrics } = this.parts;
+    const route = call?.route.name ?? 'none';
+    const outcome = end.kind === 'own' ? end.own.kind : end.kind;
+    metrics.increment(BALANCER_METRICS.calls, 1, { route, outcome });
+    metrics.timing(BALANCER_METRICS.callTime, elapsedMs, { route });
+  }
+}
--- /dev/null
+++ b/src/balancer/makeReader.ts
@@ -0,0 +1,50 @@
+import { type Ledger } from '../catalog';
+import { type Exchange } from '../exchange';
+import { CatalogReader, mustRead, SOURCE_EVENTS } from '../source';
+
+import { type BalancerParts } from './balancerParts';
+import { BALANCER_METRICS } from './metrics';
+import { sourceReports } from './sourceReports';
+
+/** What the reader fills and tells, and whether this host is stopping. */
+export interface ReaderSinks {
+  readonly ledger: Ledger;
+  readonly exchange: Exchange;
+  readonly isStopping: () => boolean;
+}
+
+/** The reader of the source of the catalog; it reads while no other host of the zone does. */
+export function makeReader(
+  { clock, random, events, settings, adapter, metrics }: BalancerParts,
+  { ledger, exchange, isStopping }: ReaderSinks,
+): CatalogReader {
+  const hostId = settings['host-id'];
+  const startedAt = clock.now();
+  return new CatalogReader({
+    ...{ clock, random, events, ledger },
+    source: adapter.openSource(settings.source, clock, events),
+    mustRead: () =>
+      mustRead({
+        hostId,
+        isStopping: isStopping(),
+        isFirstStart: settings['first-start'],
+        knowsConfiguration: ledger.catalog().configuration !== null,
+        uptimeMs: clock.now() - startedAt,
+        neighbours: sourceReports(exchange.membership),
+      }),
+    onChanges: (changes, changedRecords) => {
+      metrics.increment(BALANCER_METRICS.sourceAnswers);
+      // Sends all records, not only the changed ones: a host that applies the changes regards its
+      // catalog as complete up to their revision.
+      exchange.broadcastChanges(changes);
+      for (const { key, fact, revision } of changedRecords) {
+        events.emit(SOURCE_EVENTS.changed, {
+          key,
+          revision,
+          kind: fact?.kind ?? 'nothing usable',
+        });
+      }
+    },
+    onStateChange: () => exchange.announce(),
+  });
+}
