Start a task again that an unexpected error has ended

Cause: the loops of the catalog reader, of catching up, of the checks of a target and of the wait for an address ended at the first error that they did not expect. It was logged (event 2315) and the process lived on: it followed no change of the catalog, told the others that it was reading, and never checked the target again, not even when asked to, since the check counted as running.

Change: a Supervisor runs these loops. A reader that gives up reports that it fails, so that a neighbour reads, and reads all again, since the changes that it had just noted may not have been applied.

Other tasks are called by runEvery, which goes on after an error.

--- a/soak/balancers/hostLife.ts
+++ b/soak/balancers/hostLife.ts
@@ -5,7 +5,7 @@
 import { type HostHistory } from './hostHistory';
 
 // Events for errors that nothing in the program expects.
-const UNEXPECTED_EVENTS = [2207, 2315];
+const UNEXPECTED_EVENTS = [2207, 2315, 2321];
 const LAST_LINES = 8;
 const POLL_MS = 20;
 
--- a/src/balancer/addresses.ts
+++ b/src/balancer/addresses.ts
@@ -1,5 +1,6 @@
 import { type Result } from 'ts-results';
 
+import { type Supervisor } from '../lifecycle';
 import { type EventSink } from '../logging';
 import { type Clock, waitUntil } from '../runtime';
 
@@ -10,6 +11,7 @@
 /** Dependencies of `Addresses`. */
 export interface AddressesParts {
   readonly clock: Clock;
+  readonly tasks: Supervisor;
   readonly events: EventSink;
   /** Called when an address was opened after a wait. */
   readonly onOpened: () => void;
@@ -33,14 +35,14 @@
 
   /** Calls `open` until it succeeds; resolves after the first attempt. `name` is the setting. */
   async open(name: string, open: () => Promise<Result<void, string>>): Promise<void> {
-    const { clock, events } = this.parts;
+    const { clock, events, tasks } = this.parts;
     this.awaited.add(name);
     const startedAt = clock.now();
     const first = await open();
     if (first.ok) this.awaited.delete(name);
     else {
       events.emit(BALANCER_EVENTS.addressInUse, { part: name, reason: first.val });
-      void this.retry(name, open, startedAt);
+      void tasks.run(`opening ${name}`, () => this.retry(name, open, startedAt));
     }
   }
 
--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -24,7 +24,7 @@
   type TargetReport,
   WorkEstimates,
 } from '../knowledge';
-import { type Lifecycle } from '../lifecycle';
+import { type Lifecycle, type Supervisor } from '../lifecycle';
 import { type EventSink } from '../logging';
 import { type PrometheusSink } from '../metrics';
 import { type Clock, type Random, runEvery } from '../runtime';
@@ -44,6 +44,7 @@
 import { pullCatalog } from './pullCatalog';
 import { createReadinessServer } from './readinessServer';
 import { sourceReports } from './sourceReports';
+import { superviseTasks } from './superviseTasks';
 
 // Period of work that no event triggers: assigning health checks, detecting lost targets, gauges.
 const TICK_MS = 100;
@@ -113,10 +114,14 @@
 
   private readonly addresses: Addresses;
 
+  private readonly tasks: Supervisor;
+
   private constructor(private readonly parts: BalancerParts) {
     const { clock, random, events, settings, adapter, metrics } = parts;
     const { protocol } = adapter;
     const catalog = () => this.ledger.catalog();
+    const tasks = superviseTasks(clock, events);
+    this.tasks = tasks;
     this.inFlightCounts = new InFlightTable(clock);
     this.targetStates = new TargetStatisticsTable(
       clock,
@@ -130,7 +135,9 @@
       events.emit(EXCHANGE_EVENTS.linkError, { reason: error.message }),
     );
     this.exchange = this.makeExchange(this.link);
-    this.addresses = new Addresses({ clock, events, onOpened: () => this.applyOpenedAddress() });
+    this.addresses = new Addresses({
+      ...{ clock, events, tasks, onOpened: () => this.applyOpenedAddress() },
+    });
     this.subsets = new TargetSubsets({
       hostId: settings['host-id'],
       zone: settings.zone,
@@ -157,7 +164,7 @@
       this.exchange.broadcastNotices({ leaving: [target] });
     this.probes = new ProbeTable(
       {
-        ...{ clock, protocol, catalog, targetStates: this.targetStates, onOpened },
+        ...{ clock, tasks, protocol, catalog, targetStates: this.targetStates, onOpened },
         onReport: (report) => this.applyAndBroadcast(report),
         onLeaving,
         onProbe: () => metrics.increment(BALANCER_METRICS.probes),
@@ -297,7 +304,7 @@
     lifecycle.own('probes', () => this.probes.close());
     this.exchange.start();
     lifecycle.own('exchange', () => this.exchange.close());
-    void this.reader.run();
+    void this.tasks.run('catalog reader', () => this.reader.run());
     lifecycle.own('catalog reader', () => this.reader.close());
     lifecycle.own('turns', this.startTicks());
   }
@@ -402,6 +409,7 @@
     const self: HostAddress = { id: settings['host-id'], zone: settings.zone, ip };
     return new Exchange({
       ...{ clock, random, link, events, self, ledger: this.ledger, zones: settings.zones },
+      tasks: this.tasks,
       incarnation: random.integer(2 ** 30),
       seeds: () => this.parts.currentSettings().seeds.map(ipOf),
       sourceState: () => this.reader.state(),
--- a/src/balancer/events.ts
+++ b/src/balancer/events.ts
@@ -32,6 +32,11 @@
     message: 'waiting for settings that are missing or invalid',
   },
   settingsRead: { number: 2319, level: 'info', message: 'settings read after a wait' },
+  taskFailed: {
+    number: 2321,
+    level: 'error',
+    message: 'unexpected error ended a task, which is started again',
+  },
   exited: { number: 2320, level: 'info', message: 'balancer process ends' },
   unexpected: { number: 2315, level: 'error', message: 'unexpected error' },
 });
--- a/src/delivery/probeTask.ts
+++ b/src/delivery/probeTask.ts
@@ -1,5 +1,6 @@
 import { type Catalog, type Target } from '../catalog';
 import { type LeavingTarget, type TargetStatisticsTable, type TargetReport } from '../knowledge';
+import { type Supervisor } from '../lifecycle';
 import { type Clock, waitUntil } from '../runtime';
 
 import { type CallProtocol } from './callProtocol';
@@ -23,6 +24,7 @@
 /** Dependencies of a probe task. */
 export interface ProbeParts {
   readonly clock: Clock;
+  readonly tasks: Supervisor;
   readonly protocol: CallProtocol;
   readonly catalog: () => Catalog;
   readonly targetStates: TargetStatisticsTable;
@@ -55,7 +57,8 @@
   setProber(isProber: boolean): void {
     if (isProber === this.isProber) return;
     this.isProber = isProber;
-    if (isProber) void this.probeContinuously();
+    if (isProber)
+      void this.parts.tasks.run(`checks of ${this.target.id}`, () => this.probeContinuously());
   }
 
   /** Probes once, unless a probe is already running. */
@@ -63,9 +66,13 @@
     const service = this.parts.catalog().services.get(this.target.service);
     if (service === undefined || this.isProbing) return;
     this.isProbing = true;
-    this.parts.onProbe();
-    const report = await this.probe.send(service);
-    this.isProbing = false;
+    let report: TargetReport | null;
+    try {
+      this.parts.onProbe();
+      report = await this.probe.send(service);
+    } finally {
+      this.isProbing = false;
+    }
     if (report !== null) this.parts.onReport(report);
   }
 
--- a/src/exchange/catalogPuller.ts
+++ b/src/exchange/catalogPuller.ts
@@ -1,4 +1,5 @@
 import { type CatalogChanges, type Ledger } from '../catalog';
+import { type Supervisor } from '../lifecycle';
 import { type EventSink } from '../logging';
 import { type Clock, type Random, waitUntil } from '../runtime';
 
@@ -21,6 +22,7 @@
 export interface CatalogPullerParts {
   readonly clock: Clock;
   readonly random: Random;
+  readonly tasks: Supervisor;
   readonly events: EventSink;
   readonly ledger: Ledger;
   readonly membership: Membership;
@@ -60,7 +62,7 @@
     if (holder === null) return;
     this.isCatchingUp = true;
     this.behindSince = this.parts.clock.now();
-    void this.catchUp(holder);
+    void this.parts.tasks.run('catching up', () => this.catchUp(holder));
   }
 
   /** Starts no further pulls. */
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -1,5 +1,6 @@
 import { type CatalogChanges, decodeChanges, encodeChanges } from '../catalog';
 import { type InFlightCounts, isLargeZone, type TargetReport } from '../knowledge';
+import { type Supervisor } from '../lifecycle';
 import { sample } from '../runtime';
 
 import { CatalogPuller } from './catalogPuller';
@@ -23,6 +24,7 @@
 /** Dependencies and callbacks of `Exchange`. */
 export interface ExchangeParts extends HostView {
   readonly link: DatagramLink;
+  readonly tasks: Supervisor;
   /** Hosts of this zone that use a target; null when all of them do. */
   readonly sharersOf: (target: string) => readonly string[] | null;
   /** As `sharersOf`, by the key of the target's id. */
@@ -108,7 +110,7 @@
 
   constructor(private readonly parts: ExchangeParts) {
     this.membership = new Membership(parts.clock, parts.self);
-    const { clock, random, events, ledger, self, pull, zones } = parts;
+    const { clock, random, tasks, events, ledger, self, pull, zones } = parts;
     const { membership } = this;
     this.otherZones = new OtherZones({ clock, random, self, zones, membership });
     const send = (ips: readonly string[], message: Message) => this.send(ips, message);
@@ -118,7 +120,7 @@
       notices: parts.notices,
     });
     this.puller = new CatalogPuller({
-      ...{ clock, random, events, ledger, pull, zone: self.zone, membership },
+      ...{ clock, random, tasks, events, ledger, pull, zone: self.zone, membership },
       onPulled: () => {
         const told = sample(random, membership.neighbours(), HOLDER_NOTICE_HOSTS);
         this.sendTo(told, this.gossip.heartbeat());
--- a/src/source/catalogReader.ts
+++ b/src/source/catalogReader.ts
@@ -77,8 +77,17 @@
     return this.answeredAt;
   }
 
-  /** Runs until `close` is called. */
+  /** Runs until `close` is called; after an unexpected error it rejects and can be run again. */
   async run(): Promise<void> {
+    try {
+      await this.readUntilClosed();
+    } catch (error) {
+      this.giveUpReading();
+      throw error;
+    }
+  }
+
+  private async readUntilClosed(): Promise<void> {
     const { clock } = this.parts;
     while (!this.isClosed) {
       if (!this.parts.mustRead()) {
@@ -99,6 +108,14 @@
     this.parts.source.close();
   }
 
+  // Other hosts read while this one does not, and it has to read all again: its last changes may not have
+  // been applied.
+  private giveUpReading(): void {
+    this.hasRead = false;
+    this.parts.source.close();
+    this.setState('failing');
+  }
+
   // Another host may have read on meanwhile without the deletions that this one withholds.
   private stopReading(): void {
     this.setState('idle');
@@ -126,6 +143,8 @@
     try {
       await this.applyChanges(changes);
     } catch (error) {
+      // The revision was noted as read, but its records may not have been applied.
+      this.hasRead = false;
       await this.handleFailure({ kind: 'unreadable', message: String(error) });
     }
   }
--- /dev/null
+++ b/test/balancer/endedTasks.test.ts
@@ -0,0 +1,92 @@
+import { Err, Ok } from 'ts-results';
+
+import { platformCallProtocol } from '../../platform/callProtocol';
+import { Store } from '../../platform/store';
+import { BALANCER_METRICS } from '../../src/balancer';
+import { Addresses } from '../../src/balancer/addresses';
+import { Ledger } from '../../src/catalog';
+import { CatalogPuller } from '../../src/exchange/catalogPuller';
+import { Membership } from '../../src/exchange/membership';
+import { Supervisor } from '../../src/lifecycle';
+import { PrometheusSink } from '../../src/metrics';
+import { type Clock, SeededRandom, SystemClock } from '../../src/runtime';
+import { TestPlatform } from '../support/testPlatform';
+
+type Method = (...values: unknown[]) => unknown;
+
+/** Makes a method throw once after `isArmed` was set, for a first argument that `matches`. */
+function injectFault(object: object, name: string, matches = (_value: unknown) => true) {
+  const fault = { isArmed: false };
+  const methods = object as Record<string, Method>;
+  const original = methods[name]!.bind(object);
+  methods[name] = (...values) => {
+    if (!fault.isArmed || !matches(values[0])) return original(...values);
+    fault.isArmed = false;
+    throw new Error('injected');
+  };
+  return fault;
+}
+
+// Guards against a host that lives on but follows nothing any more, since an unexpected error has ended
+// one of its tasks.
+describe('after one unexpected error', () => {
+  const platform = new TestPlatform();
+
+  afterAll(() => platform.stop());
+
+  it('the catalog and the health of targets are followed', async () => {
+    const metrics = new PrometheusSink();
+    const faults = [injectFault(metrics, 'increment', (name) => name === BALANCER_METRICS.probes)];
+    const openSource = (address: string, clock: Clock) => {
+      const source = new Store(address, clock);
+      faults.push(injectFault(source, 'watch'));
+      return source;
+    };
+    platform.configure([{ prefix: '/read/', service: 'reads', isIdempotent: true }]);
+    const server = await platform.addServer('reads', { id: 'i-1' });
+    const adapter = { protocol: platformCallProtocol, openSource };
+    await platform.start({ parts: { adapter, metrics } });
+    for (const fault of faults) {
+      fault.isArmed = true;
+      await platform.until(() => !fault.isArmed);
+    }
+    const { probeCount } = server;
+    await platform.until(() => server.probeCount > probeCount);
+    await platform.addServer('reads', { id: 'i-2' });
+    const hasBoth = ({ fields }: { fields: object }) => 'targets' in fields && fields.targets === 2;
+    await platform.until(() => platform.events.some(hasBoth));
+    expect(platform.events.filter(({ number }) => number === 2321)).toHaveLength(2);
+  });
+
+  it('missing changes are pulled and addresses are opened', async () => {
+    const clock = new SystemClock();
+    const tasks = new Supervisor(clock, () => {});
+    const events = { emit: () => {} };
+    const random = new SeededRandom(1);
+    const membership = new Membership(clock, { id: 'host-1', zone: 'a', ip: '127.0.0.1' });
+    const state = { incarnation: 1, newest: 5, fingerprint: 0, isLeaving: false, zoneSize: 2 };
+    const host = ['host-2', 'a', '127.0.0.2'] as const;
+    membership.applyHeartbeat(
+      { kind: 'heartbeat', host, asOf: 5, source: 'reading', ...state },
+      '127.0.0.2',
+    );
+    const ledger = new Ledger();
+    const pull = (_holder: unknown, after: number) =>
+      Promise.resolve({ after, asOf: 5, records: [] });
+    const puller = new CatalogPuller({
+      ...{ clock, random, tasks, events, ledger, membership, pull, zone: 'a', onPulled() {} },
+    });
+    puller.check();
+    injectFault(random, 'integer').isArmed = true;
+    let attempts = 0;
+    const addresses = new Addresses({ clock, events, tasks, onOpened() {} });
+    await addresses.open('caller-address', () => {
+      attempts += 1;
+      if (attempts === 2) throw new Error('injected');
+      return Promise.resolve(attempts === 1 ? Err('in use') : Ok(undefined));
+    });
+    await platform.until(() => addresses.waitingFor().length === 0);
+    await platform.until(() => ledger.catalog().asOf === 5);
+    puller.close();
+  });
+});
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -6,6 +6,7 @@
   isLargeZone,
   type TargetReport,
 } from '../../src/knowledge';
+import { Supervisor } from '../../src/lifecycle';
 import { type ManualClock, type Random, SeededRandom, waitUntil } from '../../src/runtime';
 import { CatalogReader, mustRead } from '../../src/source';
 import { CrashTable } from '../../src/suspects';
@@ -96,6 +97,7 @@
       ...{ clock: this.clock, link, ledger, self: address, zones: this.zones },
       random: new SeededRandom(this.nextIncarnation),
       events: { emit: () => {} },
+      tasks: new Supervisor(this.clock, () => {}),
       incarnation: this.nextIncarnation,
       seeds: this.seeds,
       sourceState: () => this.hosts.get(id)?.reader?.state() ?? 'idle',
--- a/test/support/testPlatform.ts
+++ b/test/support/testPlatform.ts
@@ -2,7 +2,7 @@
 
 import { platformCallProtocol } from '../../platform/callProtocol';
 import { Store } from '../../platform/store';
-import { Balancer } from '../../src/balancer';
+import { Balancer, type BalancerParts } from '../../src/balancer';
 import { Lifecycle } from '../../src/lifecycle';
 import { type EventDefinition, type EventFields } from '../../src/logging';
 import { PrometheusSink } from '../../src/metrics';
@@ -90,7 +90,13 @@
 
   /** Starts the balancer and waits until it is ready, unless told not to. */
   async start(
-    options: { waitReady?: boolean; seed?: number; isFirstStart?: boolean } = {},
+    options: {
+      waitReady?: boolean;
+      seed?: number;
+      isFirstStart?: boolean;
+      /** Parts to use instead of the usual ones. */
+      parts?: Partial<BalancerParts>;
+    } = {},
   ): Promise<void> {
     const source = await this.store.listen();
     this.callerPort = await freePort();
@@ -132,6 +138,7 @@
       metrics: new PrometheusSink(),
       lifecycle: this.lifecycle,
       droppedLines: () => 0,
+      ...options.parts,
     });
     if (options.waitReady === false) return;
     await this.until(() => this.balancer!.isReady());
