Remove a call from the queue when its task fails

Cause: an unexpected error in the task of a call that waited left its entry in the queue of its service for as long as the process lived, with its timers and attempts. Later calls then counted it as waiting, and late ones waited behind it.

Before: in test/balancer/endedTasks a call alone found 2 waiting after one error.

--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -85,6 +85,16 @@
 
   /** Runs the call and resolves to its final result. */
   async run(): Promise<CallEnd> {
+    try {
+      return await this.runToEnd();
+    } catch (error) {
+      // What it leaves in the queue or at a target would count against other calls for good.
+      this.finish({ kind: 'own', own: { kind: 'unknown', status: 502, detail: String(error) } });
+      throw error;
+    }
+  }
+
+  private async runToEnd(): Promise<CallEnd> {
     const { clock } = this.context;
     this.timers.push(
       clock.setTimer(this.call.deadline, () => this.mailbox.put({ kind: 'deadline' })),
--- a/test/balancer/endedTasks.test.ts
+++ b/test/balancer/endedTasks.test.ts
@@ -8,6 +8,7 @@
 import { CatalogPuller } from '../../src/exchange/catalogPuller';
 import { Membership } from '../../src/exchange/membership';
 import { Supervisor } from '../../src/lifecycle';
+import { type EventDefinition, type EventFields } from '../../src/logging';
 import { PrometheusSink } from '../../src/metrics';
 import { type Clock, SeededRandom, SystemClock } from '../../src/runtime';
 import { TestPlatform } from '../support/testPlatform';
@@ -32,7 +33,9 @@
 describe('after one unexpected error', () => {
   const platform = new TestPlatform();
 
-  afterAll(() => platform.stop());
+  const queueing = new TestPlatform();
+
+  afterAll(() => Promise.all([platform.stop(), queueing.stop()]));
 
   it('the catalog and the health of targets are followed', async () => {
     const metrics = new PrometheusSink();
@@ -58,6 +61,26 @@
     expect(platform.events.filter(({ number }) => number === 2321)).toHaveLength(2);
   });
 
+  // Guards against a queue in which later calls wait behind one that is not there any more.
+  it('a call leaves the queue of its service', async () => {
+    const waiting: unknown[] = [];
+    let hasThrown = false;
+    const emit = ({ number }: EventDefinition, fields: EventFields = {}) => {
+      if (number !== 2200) return;
+      waiting.push(fields.waiting);
+      if (hasThrown || fields.waiting !== 1) return;
+      hasThrown = true;
+      throw new Error('injected');
+    };
+    queueing.configure([{ prefix: '/book/', service: 'bookings', isIdempotent: false }]);
+    await queueing.addServer('bookings', { id: 'i-1', workMs: 60, slots: 1 });
+    await queueing.start({ parts: { events: { emit } } });
+    const replies = [queueing.call('POST', '/book/1'), queueing.call('POST', '/book/2')];
+    expect((await Promise.all(replies)).map(({ status }) => status).sort()).toEqual([200, 502]);
+    await queueing.call('POST', '/book/3');
+    expect(waiting.at(-1)).toBe(0);
+  });
+
   it('missing changes are pulled and addresses are opened', async () => {
     const clock = new SystemClock();
     const tasks = new Supervisor(clock, () => {});
