Check a target once in each interval after it was assigned again

Cause: a host that ceased to be the prober of a target and became it again within one interval had two loops, since the first one still waited and then found itself assigned.

Change: each assignment has a number, and a loop ends when another one has begun.

Before: test/delivery/probeTask counted 60 turns in 500 ms after three assignments, after: less than 30, as after one.

--- a/src/delivery/probeTask.ts
+++ b/src/delivery/probeTask.ts
@@ -39,6 +39,9 @@
 export class ProbeTask {
   private isProber = false;
 
+  /** Number of times that this host became the prober, each with a loop of its own. */
+  private assignments = 0;
+
   private isProbing = false;
 
   private readonly probe: TargetProbe;
@@ -57,8 +60,12 @@
   setProber(isProber: boolean): void {
     if (isProber === this.isProber) return;
     this.isProber = isProber;
-    if (isProber)
-      void this.parts.tasks.run(`checks of ${this.target.id}`, () => this.probeContinuously());
+    if (!isProber) return;
+    this.assignments += 1;
+    const { assignments } = this;
+    void this.parts.tasks.run(`checks of ${this.target.id}`, () =>
+      this.probeContinuously(assignments),
+    );
   }
 
   /** Probes once, unless a probe is already running. */
@@ -82,9 +89,9 @@
     this.probe.close();
   }
 
-  private async probeContinuously(): Promise<void> {
+  private async probeContinuously(assignment: number): Promise<void> {
     const { clock } = this.parts;
-    while (this.isProber) {
+    while (this.isProber && assignment === this.assignments) {
       const interval = probeInterval(this.latencyObjectiveMs());
       if (!this.isFresh(interval * FRESH_INTERVAL_SHARE)) await this.check();
       await waitUntil(clock, clock.now() + interval);
