Give a new catalog to all parts even if one of them fails

Cause: the parts of a host got a new catalog one after the other in one listener. An unexpected error in one kept it from those behind it until the next change, while the host told others that it had the revision.

Change: each part listens by itself. The ledger calls all listeners, throws the errors afterwards, and calls them again with the next records, even if none of these is new, as when the reader reads all again.

Before: in test/catalog/ledger the second listener got nothing and a second reading changed nothing. After: both have the catalog.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -350,14 +350,11 @@
 
   private subscribeToLedger(): void {
     const { events } = this.parts;
+    const { targetStates, subsets, delivery, probes, calls, targetConditions } = this;
+    for (const part of [targetStates, subsets, delivery, probes, calls, targetConditions])
+      this.ledger.onChange((catalog) => part.applyCatalog(catalog));
     this.ledger.onChange((catalog) => {
-      this.targetStates.applyCatalog(catalog);
-      this.subsets.applyCatalog(catalog);
       this.reportBroadcaster.retainTargets((target) => catalog.targets.has(target));
-      this.delivery.applyCatalog(catalog);
-      this.probes.applyCatalog(catalog);
-      this.calls.applyCatalog(catalog);
-      this.targetConditions.applyCatalog(catalog);
       events.emit(BALANCER_EVENTS.catalogChanged, {
         asOf: catalog.asOf,
         version: catalog.configuration?.version ?? null,
--- a/src/catalog/ledger.ts
+++ b/src/catalog/ledger.ts
@@ -30,6 +30,9 @@
 
   private current: Catalog = buildCatalog(0, [], null);
 
+  /** Whether all listeners have been given the current records. */
+  private isPublished = true;
+
   private readonly listeners = new Set<(catalog: Catalog) => void>();
 
   /** The current catalog. */
@@ -58,7 +61,10 @@
     this.listeners.add(listener);
   }
 
-  /** Applies the records that are newer than those held, and returns them. */
+  /**
+   * Applies the records that are newer than those held, and returns them. Throws if a listener did; the
+   * others have the new catalog then, and the next call gives it to all of them again.
+   */
   apply(changes: CatalogChanges): readonly CatalogRecord[] {
     const newerRecords = changes.records.filter((record) => this.isNewer(record));
     for (const record of newerRecords) {
@@ -69,18 +75,17 @@
     const isContiguous = changes.after === null || changes.after <= this.current.asOf;
     const asOf = isContiguous ? Math.max(this.current.asOf, changes.asOf) : this.current.asOf;
     this.newest = Math.max(this.newest, asOf);
-    if (newerRecords.length === 0 && droppedCount === 0 && asOf === this.current.asOf)
-      return newerRecords;
+    const isUnchanged = newerRecords.length === 0 && droppedCount === 0 && this.isPublished;
+    if (isUnchanged && asOf === this.current.asOf) return newerRecords;
     this.currentFingerprint = null;
     if (changes.after === null)
       this.compactedRevision = Math.max(this.compactedRevision, changes.asOf);
-    if (newerRecords.length === 0 && droppedCount === 0) {
+    if (isUnchanged) {
       this.current = Object.freeze({ ...this.current, asOf });
       return newerRecords;
     }
     this.pruneDeletions();
-    this.current = buildCatalog(asOf, this.facts(), this.current);
-    for (const listener of this.listeners) listener(this.current);
+    this.publish(asOf);
     return newerRecords;
   }
 
@@ -103,6 +108,21 @@
     return { after: mustSendAll ? null : after, asOf: this.current.asOf, records };
   }
 
+  private publish(asOf: number): void {
+    this.isPublished = false;
+    this.current = buildCatalog(asOf, this.facts(), this.current);
+    const errors: unknown[] = [];
+    for (const listener of this.listeners) {
+      try {
+        listener(this.current);
+      } catch (error) {
+        errors.push(error);
+      }
+    }
+    this.isPublished = errors.length === 0;
+    if (!this.isPublished) throw new AggregateError(errors, errors.map(String).join('; '));
+  }
+
   private computeFingerprint(): number {
     const { asOf } = this.current;
     if (this.newest === asOf) return 0;
--- a/test/catalog/ledger.test.ts
+++ b/test/catalog/ledger.test.ts
@@ -46,6 +46,26 @@
     expect(ledger.catalog().asOf).toBe(13);
   });
 
+  // Guards against a part of a host that keeps an old catalog, since another one failed to apply the new
+  // one, and against a part that failed once and keeps it until the next change.
+  it('gives a new catalog to all listeners even if one of them throws', () => {
+    const ledger = new Ledger();
+    const received: number[] = [];
+    let hasFailed = false;
+    ledger.onChange(() => {
+      if (hasFailed) return;
+      hasFailed = true;
+      throw new Error('injected');
+    });
+    ledger.onChange(({ targets }) => received.push(targets.size));
+    const changes = { after: null, asOf: 3, records: [targetRecord('t', 3)] };
+    expect(() => ledger.apply(changes)).toThrow('injected');
+    expect(received).toEqual([1]);
+    ledger.apply(changes);
+    ledger.apply(changes);
+    expect(received).toEqual([1, 1]);
+  });
+
   // Guards against a delayed message that restores a deleted target.
   it('does not restore a target from a record older than its deletion', () => {
     const ledger = new Ledger();
