Apply changed settings again after an unexpected error

Cause: the watch noted the new state of the file before the settings were applied, so that an error in applying them lost the change.

Change: a change counts as applied only when applying it has succeeded.

Before: test/balancer/watchSettings saw one call, after: two.

--- a/src/balancer/watchSettings.ts
+++ b/src/balancer/watchSettings.ts
@@ -27,6 +27,7 @@
   let isApplied = true;
   const apply = () => {
     lastStamp = readStamp();
+    isApplied = false;
     isApplied = onChange();
   };
   const stop = runEvery(clock, intervalMs, () => {
