--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -1,6 +1,7 @@
-import { type Catalog, Ledger } from '../catalog';
+import { Ledger } from '../catalog';
 import { type CallServer } from '../delivery';
 import { EXCHANGE_EVENTS, UdpLink } from '../exchange';
+import { type Supervisor } from '../lifecycle';
 import { type CatalogReader } from '../source';
 
 import { Addresses } from './addresses';
@@ -12,6 +13,7 @@
 import { makeReader } from './makeReader';
 import { openAddresses } from './openAddresses';
 import { startTicks } from './startTicks';
+import { superviseTasks } from './superviseTasks';
 
 // Without the exchange a host knows neither the limits and crashes that others see nor how many they
 // are, so that its calls could break what the hosts keep together. The other addresses serve hosts and
@@ -26,6 +28,8 @@
 
   private readonly link: UdpLink;
 
+  private readonly tasks: Supervisor;
+
   private readonly addresses: Addresses;
 
   private readonly knowledge: FleetKnowledge;
@@ -42,18 +46,23 @@
   private constructor(private readonly parts: BalancerParts) {
     const { clock, events } = parts;
     const { ledger } = this;
+    const tasks = superviseTasks(clock, events);
+    this.tasks = tasks;
     const isStopping = () => this.isStopping();
     this.link = new UdpLink((error) =>
       events.emit(EXCHANGE_EVENTS.linkError, { reason: error.message }),
     );
     this.knowledge = new FleetKnowledge(parts, {
-      ...{ ledger, link: this.link, isStopping },
+      ...{ ledger, link: this.link, tasks, isStopping },
       sourceState: () => this.reader.state(),
     });
-    this.addresses = new Addresses({ clock, events, onOpened: () => this.applyOpenedAddress() });
+    this.addresses = new Addresses({
+      ...{ clock, events, tasks, onOpened: () => this.applyOpenedAddress() },
+    });
     this.reader = makeReader(parts, { ledger, exchange: this.knowledge.exchange, isStopping });
     this.callPath = new CallPath(parts, {
       catalog: () => ledger.catalog(),
+      tasks,
       knowledge: this.knowledge,
       stopDeadline: () => this.stopDeadline,
     });
@@ -95,7 +104,7 @@
   private async open(): Promise<void> {
     const { parts, ledger, addresses, knowledge, callPath } = this;
     const { lifecycle } = parts;
-    ledger.onChange((catalog) => this.applyCatalog(catalog));
+    this.listenToLedger();
     await openAddresses(parts, {
       ...{ addresses, ledger, link: this.link, callerServer: this.calls.server },
       isReady: () => this.isReady(),
@@ -105,7 +114,7 @@
     lifecycle.own('probes', () => callPath.probes.close());
     knowledge.exchange.start();
     lifecycle.own('exchange', () => knowledge.exchange.close());
-    void this.reader.run();
+    void this.tasks.run('catalog reader', () => this.reader.run());
     lifecycle.own('catalog reader', () => this.reader.close());
     const { probes } = callPath;
     lifecycle.own('turns', startTicks(parts, { ledger, knowledge, probes, addresses }));
@@ -137,16 +146,18 @@
     this.parts.events.emit(BALANCER_EVENTS.ready, { sinceStartMs });
   }
 
-  private applyCatalog(catalog: Catalog): void {
-    this.knowledge.applyCatalog(catalog);
-    this.callPath.applyCatalog(catalog);
-    this.parts.events.emit(BALANCER_EVENTS.catalogChanged, {
-      asOf: catalog.asOf,
-      version: catalog.configuration?.version ?? null,
-      routes: catalog.configuration?.routes.length ?? 0,
-      targets: catalog.targets.size,
-      zonesOut: [...catalog.zonesOut],
+  private listenToLedger(): void {
+    this.knowledge.listenTo(this.ledger);
+    this.callPath.listenTo(this.ledger);
+    this.ledger.onChange((catalog) => {
+      this.parts.events.emit(BALANCER_EVENTS.catalogChanged, {
+        asOf: catalog.asOf,
+        version: catalog.configuration?.version ?? null,
+        routes: catalog.configuration?.routes.length ?? 0,
+        targets: catalog.targets.size,
+        zonesOut: [...catalog.zonesOut],
+      });
+      this.logReadyOnce();
     });
-    this.logReadyOnce();
   }
 }
--- a/src/balancer/callPath.ts
+++ b/src/balancer/callPath.ts
@@ -1,4 +1,4 @@
-import { type Catalog } from '../catalog';
+import { type Catalog, type Ledger } from '../catalog';
 import {
   type CallEnd,
   CallServer,
@@ -10,6 +10,7 @@
   ProbeTable,
 } from '../delivery';
 import { LastSlotSlowdowns, type LeavingTarget, WorkEstimates } from '../knowledge';
+import { type Supervisor } from '../lifecycle';
 
 import { type BalancerParts } from './balancerParts';
 import { callShare, MIN_ASSUMED_HOSTS } from './callShare';
@@ -26,6 +27,7 @@
 /** What calls need to know beside the targets. */
 export interface CallPathSources {
   readonly catalog: () => Catalog;
+  readonly tasks: Supervisor;
   readonly knowledge: FleetKnowledge;
   /** Monotonic time by which the last answer must be sent; Infinity unless the host is stopping. */
   readonly stopDeadline: () => number;
@@ -59,11 +61,10 @@
     });
   }
 
-  /** Takes over the targets and routes of a changed catalog. */
-  applyCatalog(catalog: Catalog): void {
-    this.delivery.applyCatalog(catalog);
-    this.probes.applyCatalog(catalog);
-    this.calls.applyCatalog(catalog);
+  /** Takes over the targets and routes of each changed catalog. */
+  listenTo(ledger: Ledger): void {
+    for (const part of [this.delivery, this.probes, this.calls])
+      ledger.onChange((catalog) => part.applyCatalog(catalog));
   }
 
   /** Closes the connections to targets. */
@@ -73,11 +74,11 @@
 
   private makeProbes(): ProbeTable {
     const { clock, adapter, metrics } = this.parts;
-    const { catalog, knowledge } = this.sources;
+    const { catalog, tasks, knowledge } = this.sources;
     const { targetStates, subsets } = knowledge;
     return new ProbeTable(
       {
-        ...{ clock, protocol: adapter.protocol, catalog, targetStates },
+        ...{ clock, tasks, protocol: adapter.protocol, catalog, targetStates },
         onOpened: () => this.countConnection(),
         onReport: (report) => knowledge.applyAndBroadcast(report),
         onLeaving: (target) => this.tellLeaving(target),
--- a/src/balancer/fleetKnowledge.ts
+++ b/src/balancer/fleetKnowledge.ts
@@ -1,4 +1,4 @@
-import { type Catalog, type Ledger } from '../catalog';
+import { type Ledger } from '../catalog';
 import { Exchange, type HostAddress, type UdpLink } from '../exchange';
 import {
   identityKey,
@@ -9,6 +9,7 @@
   TargetStatisticsTable,
   TargetSubsets,
 } from '../knowledge';
+import { type Supervisor } from '../lifecycle';
 import { type SourceState } from '../source';
 import { CrashTable } from '../suspects';
 
@@ -22,6 +23,7 @@
 export interface FleetKnowledgeSources {
   readonly ledger: Ledger;
   readonly link: UdpLink;
+  readonly tasks: Supervisor;
   readonly sourceState: () => SourceState;
   readonly isStopping: () => boolean;
 }
@@ -81,12 +83,13 @@
     });
   }
 
-  /** Takes over the targets of a changed catalog. */
-  applyCatalog(catalog: Catalog): void {
-    this.targetStates.applyCatalog(catalog);
-    this.subsets.applyCatalog(catalog);
-    this.reportBroadcaster.retainTargets((target) => catalog.targets.has(target));
-    this.targetConditions.applyCatalog(catalog);
+  /** Takes over the targets of each changed catalog. */
+  listenTo(ledger: Ledger): void {
+    for (const part of [this.targetStates, this.subsets, this.targetConditions])
+      ledger.onChange((catalog) => part.applyCatalog(catalog));
+    ledger.onChange(({ targets }) =>
+      this.reportBroadcaster.retainTargets((target) => targets.has(target)),
+    );
   }
 
   /** Applies a report of this host and queues it for broadcast to the others. */
@@ -128,12 +131,13 @@
 
   private makeExchange(): Exchange {
     const { clock, random, events, settings } = this.parts;
-    const { ledger, link, sourceState, isStopping } = this.sources;
+    const { ledger, link, tasks, sourceState, isStopping } = this.sources;
     const ip = ipOf(settings['control-address']);
     const ownHostKey = identityKey(settings['host-id']);
     const self: HostAddress = { id: settings['host-id'], zone: settings.zone, ip };
     return new Exchange({
-      ...{ clock, random, link, events, self, ledger, zones: settings.zones, sourceState },
+      ...{ clock, random, link, tasks, events, self, ledger, sourceState },
+      zones: settings.zones,
       incarnation: random.integer(2 ** 30),
       seeds: () => this.parts.currentSettings().seeds.map(ipOf),
       isLeaving: isStopping,
