--- a/src/balancer/callPath.ts
+++ b/src/balancer/callPath.ts
@@ -14,15 +14,13 @@
 
 import { type BalancerParts } from './balancerParts';
 import { callShare, MIN_ASSUMED_HOSTS } from './callShare';
+import { callerConnectionLimit, targetConnectionLimits } from './descriptorShares';
 import { type FleetKnowledge } from './fleetKnowledge';
 import { BALANCER_METRICS } from './metrics';
 
 const BYTES_PER_MEGABYTE = 1024 * 1024;
 // Calls hold at most this share of the memory; the heap with all else takes the rest.
 const CALL_MEMORY_SHARE = 1 / 4;
-// Each call needs a connection of its caller and one to a target; the rest is for health checks, other
-// hosts and files.
-const CALLER_DESCRIPTOR_SHARE = 0.45;
 
 /** What calls need to know beside the targets. */
 export interface CallPathSources {
@@ -57,7 +55,7 @@
       ...{ clock, random, events, protocol, catalog, context: this.delivery },
       observer: { onEnd: (call, end, elapsedMs) => this.countCall(call, end, elapsedMs) },
       memory,
-      maxConnections: Math.floor(settings['descriptor-limit'] * CALLER_DESCRIPTOR_SHARE),
+      maxConnections: callerConnectionLimit(settings['descriptor-limit']),
     });
   }
 
@@ -125,6 +123,7 @@
     const { catalog, knowledge, stopDeadline } = this.sources;
     const { targetStates, exchange } = knowledge;
     return new Delivery({
+      connectionLimits: targetConnectionLimits(settings['descriptor-limit']),
       ...{ memory, clock, random, events, catalog, targetStates, stopDeadline },
       protocol: adapter.protocol,
       placer: this.makePlacer(),
