--- a/test/balancer/processEnd.test.ts
+++ b/test/balancer/processEnd.test.ts
@@ -18,9 +18,13 @@
   return ['-e', `${run}.then((code) => process.exit(code));${after}`];
 }
 
-// Fills the pipe of the log, which nobody reads.
+const LOG_FILLED = 'log filled';
+// Fills the pipe of the log, which nobody reads, and says so on standard error.
 const FILL_LOG = `
-setTimeout(() => { try { for (;;) require('fs').writeSync(1, '\\n'.repeat(65536)); } catch {} }, 300);`;
+setTimeout(() => {
+  try { for (;;) require('fs').writeSync(1, '\\n'.repeat(65536)); } catch {}
+  require('fs').writeSync(2, '${LOG_FILLED}\\n');
+}, 300);`;
 
 describe('the end of a process', () => {
   let platform: TestPlatform;
@@ -75,7 +79,7 @@
   it('is written in time when the log is not read', async () => {
     const closed = balancer.launch(program('{}', FILL_LOG));
     balancer.child!.stdout!.pause();
-    await platform.sleep(800);
+    await platform.until(() => balancer.output.includes(LOG_FILLED));
     const stoppedAt = performance.now();
     balancer.child!.kill('SIGTERM');
     expect(await once(balancer.child!, 'exit')).toEqual([0, null]);
