Play targets that leave or ask for no calls on the fleet model

The fleet model knew neither wish, and its hosts learnt from each other without a network. A target leaves, some ask for no calls, and all targets of a small service ask for none until the same moment. Checked for each host: no call that came over 2 s after it passed on an answer that says so reaches a leaving target, and at most two calls reach a quiet one from half a second after it asked.

--- a/measure/measureOptions.ts
+++ b/measure/measureOptions.ts
@@ -21,7 +21,7 @@
     .string()
     .default('1000,3000')
     .transform((list) => list.split(',').map(Number)),
-  /** Fleet sizes of control-cost, separated by commas. */
+  /** Fleet sizes of control-cost and target-wishes, separated by commas. */
   sizes: z
     .string()
     .default('3,9,17,33')
--- a/measure/measurements/index.ts
+++ b/measure/measurements/index.ts
@@ -11,6 +11,7 @@
 import { scaleChoice } from './scaleChoice';
 import { scaleView } from './scaleView';
 import { stragglers } from './stragglers';
+import { targetWishes } from './targetWishes';
 import { zoneOutAndBack } from './zoneOutAndBack';
 
 /** All measurements by name. */
@@ -27,4 +28,5 @@
   'config-spread': configSpread,
   'scale-choice': scaleChoice,
   'scale-view': scaleView,
+  'target-wishes': targetWishes,
 };
--- a/standins/fleet/fleetModel.ts
+++ b/standins/fleet/fleetModel.ts
@@ -90,8 +90,8 @@
       random: new SeededRandom(this.random.integer(2 ** 30)),
       catalog: () => this.catalog,
       targets: this.targets,
-      hostCount: Math.max(20, this.totalHostCount()),
-      neighbourCount: options.hosts[options.zones.indexOf(zone)]! - 1,
+      hostCount: () => Math.max(20, this.totalHostCount()),
+      neighbourCount: () => options.hosts[options.zones.indexOf(zone)]! - 1,
       zoneHosts: () => this.hosts.filter((other) => other.zone === zone).map((other) => other.id),
       workMsOf: (call) => {
         this.attempts += 1;
@@ -141,11 +141,7 @@
       );
       if (prober === undefined) continue;
       const probe = () => {
-        const { running, waiting } = model.load();
-        prober.observe({
-          ...{ target: model.target.id, age: 0, running, waiting, pace: model.pace() },
-          ...{ observation: 'probe' as const, coldLeft: null, callLimit: null },
-        });
+        prober.probe(model);
         this.clock.setTimer(this.clock.now() + PROBE_INTERVAL_MS + PROBE_DURATION_MS, probe);
       };
       this.clock.setTimer(PROBE_INTERVAL_MS * this.random.next(), probe);
--- a/standins/fleet/index.ts
+++ b/standins/fleet/index.ts
@@ -6,4 +6,9 @@
   type ModelDisturbance,
 } from './modelOptions';
 export { type KindReport, type ModelReport } from './modelReport';
+export { ModelCallers } from './modelCallers';
+export { modelCatalog } from './modelCatalog';
+export { ModelHost } from './modelHost';
+export { ModelTarget } from './modelTarget';
+export { ActiveDisturbances } from './activeDisturbances';
 export { COURSES, ROUNDS } from './deployments';
--- a/standins/fleet/modelAttempt.ts
+++ b/standins/fleet/modelAttempt.ts
@@ -11,6 +11,10 @@
   /** One-way network delay to the target. */
   readonly oneWayDelayMs: number;
   readonly workMs: number;
+  /** Whether the host can still send. */
+  readonly maySend: () => boolean;
+  /** Called when the call has reached the target. */
+  readonly onArrival: () => void;
   readonly onEnd: (kind: ModelEnd) => void;
 }
 
@@ -31,11 +35,14 @@
   }
 
   start(): void {
+    if (!this.parts.maySend()) return;
     this.sentAt = this.parts.clock.now();
     this.afterDelay(() => {
       if (this.hasEnded) return;
-      this.parts.model.recordArrival(this.parts.clock.now());
-      this.parts.model.accept(this.job);
+      const now = this.parts.clock.now();
+      this.parts.onArrival();
+      this.parts.model.recordArrival(now);
+      this.parts.model.accept(this.job, now);
     });
   }
 
--- a/standins/fleet/modelCatalog.ts
+++ b/standins/fleet/modelCatalog.ts
@@ -29,7 +29,7 @@
     zones.flatMap((zone, index) =>
       Array.from({ length: service.targets[index]! }, (_, number) => ({
         ...{ id: `${service.name}-${zone}-${number}`, service: service.name, zone },
-        ...{ address: '', slots: service.slots, state: 'ready' as const },
+        ...{ address: '10.1.0.1:80', slots: service.slots, state: 'ready' as const },
         ...{ coldUntil: 0, startedAt: 1 },
       })),
     ),
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -16,9 +16,11 @@
   InFlightBroadcaster,
   InFlightTable,
   LastSlotSlowdowns,
+  type LeavingTarget,
   TargetStatisticsTable,
   ReportBroadcaster,
   type TargetReport,
+  type TargetSubsets,
   WorkEstimates,
 } from '../../src/knowledge';
 import { type Clock, type Random } from '../../src/runtime';
@@ -33,8 +35,8 @@
   readonly random: Random;
   readonly catalog: () => Catalog;
   readonly targets: ReadonlyMap<string, ModelTarget>;
-  readonly hostCount: number;
-  readonly neighbourCount: number;
+  readonly hostCount: () => number;
+  readonly neighbourCount: () => number;
   /** Ids of the hosts of the zone, including this one. */
   readonly zoneHosts: () => readonly string[];
   readonly workMsOf: (call: IncomingCall) => number;
@@ -45,6 +47,12 @@
     counts: readonly InFlightCounts[],
     isCrossZone: boolean,
   ) => void;
+  /** Which hosts share a target; by default all hosts use all targets. */
+  readonly subsets?: TargetSubsets;
+  /** Called when an answer or a health check is the first to say that a target is leaving. */
+  readonly onLeaving?: (target: LeavingTarget) => void;
+  /** Called when a call has reached a target, before the target runs it. */
+  readonly onArrival?: (call: IncomingCall, target: ModelTarget) => void;
 }
 
 const NO_HEADERS = {};
@@ -61,41 +69,49 @@
 
   private readonly delivery: Delivery;
 
+  private readonly runningAttempts = new Set<RunningAttempt>();
+
+  private hasStopped = false;
+
   constructor(
     readonly id: string,
     readonly zone: string,
     private readonly environment: ModelEnvironment,
   ) {
     const { clock, random, catalog } = environment;
-    const neighbourCount = () => environment.neighbourCount;
+    const { neighbourCount, subsets, onLeaving = () => {} } = environment;
+    const hasInFlightBroadcasts = (key: number) => subsets?.hasInFlightBroadcasts(key) ?? true;
     this.inFlightCounts = new InFlightTable(clock);
     this.inFlightBroadcaster = new InFlightBroadcaster(clock, id, {
       broadcastInFlightCounts: (counts, isCrossZone) =>
         environment.broadcastInFlightCounts(counts, isCrossZone),
       neighbourCount,
-      hasInFlightBroadcasts: () => true,
+      hasInFlightBroadcasts,
     });
-    this.targetStates = new TargetStatisticsTable(clock, this.inFlightCounts, (...change) =>
-      this.inFlightBroadcaster.recordCalls(...change),
+    this.targetStates = new TargetStatisticsTable(
+      clock,
+      this.inFlightCounts,
+      (...change) => this.inFlightBroadcaster.recordCalls(...change),
+      hasInFlightBroadcasts,
     );
     this.reportBroadcaster = new ReportBroadcaster(clock, {
       broadcastReports: (reports, isCrossZone) =>
         environment.broadcastReports(reports, isCrossZone),
       neighbourCount,
-      receiverCount: neighbourCount,
+      receiverCount: () => (subsets?.isActive() ? subsets.otherSharers() : neighbourCount()),
     });
     const events = { emit: () => {} };
     const placer = new Placer({
       ...{ clock, random, catalog, zone, targetStates: this.targetStates },
       work: new WorkEstimates(),
       lastSlotSlowdowns: new LastSlotSlowdowns(),
-      preference: { has: () => true, version: () => 0 },
+      preference: subsets ?? { has: () => true, version: () => 0 },
       isConnected: () => true,
       callShare: (target, rate) =>
         callShare(target.id, target.zone === zone, rate, {
           hostId: id,
           zoneHosts: environment.zoneHosts(),
-          maxLiveHostCount: environment.hostCount,
+          maxLiveHostCount: environment.hostCount(),
         }),
     });
     this.delivery = new Delivery({
@@ -111,10 +127,10 @@
       ),
       retryBudgetLimits: { ratio: 0.2, slack: 60, windowMs: 10_000 },
       stopDeadline: () => Infinity,
-      hostCount: () => environment.hostCount,
+      hostCount: environment.hostCount,
       onReport: (report) => this.observe(report),
       onUnexpectedClose: () => {},
-      onLeaving: () => {},
+      onLeaving,
       counters: {
         attempt: () => {},
         retry: () => {},
@@ -153,6 +169,30 @@
     });
   }
 
+  /** Applies a changed catalog. */
+  applyCatalog(catalog: Catalog): void {
+    this.targetStates.applyCatalog(catalog);
+    this.environment.subsets?.applyCatalog(catalog);
+    this.delivery.applyCatalog(catalog);
+  }
+
+  /** Ends all attempts, and sends none from now on. */
+  stop(): void {
+    this.hasStopped = true;
+    for (const attempt of [...this.runningAttempts]) attempt.abort();
+  }
+
+  /** Applies the result of a health check of a target and broadcasts it. */
+  probe(model: ModelTarget): void {
+    const { target } = model;
+    if (model.isLeaving && this.targetStates.recordLeaving(target))
+      this.environment.onLeaving?.(target);
+    this.observe({
+      ...{ target: target.id, age: 0, ...model.load(), pace: model.pace() },
+      ...{ observation: 'probe' as const, coldLeft: null, callLimit: null },
+    });
+  }
+
   /** Applies an observation of this host and broadcasts it. */
   observe(report: TargetReport): void {
     const hasLimitChanged = this.targetStates.hasOtherLimit(report);
@@ -166,13 +206,17 @@
     const oneWayDelayMs = this.environment.oneWayDelayMs(this.zone, target.zone);
     const attempt: ModelAttempt = new ModelAttempt(call, target, {
       ...{ clock, model, oneWayDelayMs, workMs: this.environment.workMsOf(call) },
+      maySend: () => !this.hasStopped,
+      onArrival: () => this.environment.onArrival?.(call, model),
       onEnd: (kind) => {
+        this.runningAttempts.delete(attempt);
         if (kind !== 'reset' && kind !== 'aborted') {
           observer.onHead(attempt, this.head(model, call, kind));
         }
         observer.onEnd(attempt, this.result(model, call, kind));
       },
     });
+    this.runningAttempts.add(attempt);
     return attempt;
   }
 
@@ -188,8 +232,8 @@
         isSigned: true,
         isNotRun: kind === 'refused',
         coldLeft: null,
-        isLeaving: false,
-        quietMs: null,
+        isLeaving: model.isLeaving,
+        quietMs: kind === 'refused' ? model.quietMs(this.environment.clock.now()) : null,
       },
       callLimit: model.statedLimit,
       ...{ load: { ...model.load(), pace: model.pace() }, target: model.target.id },
--- a/standins/fleet/modelTarget.ts
+++ b/standins/fleet/modelTarget.ts
@@ -37,6 +37,12 @@
   /** Calls per second that the target states to take; null without a limit. */
   statedLimit: number | null = null;
 
+  /** Whether its answers say that it is leaving. */
+  isLeaving = false;
+
+  /** Time until which it turns all calls away and asks for none. */
+  quietUntil = -Infinity;
+
   /** Largest number of calls within 4 s beyond 1.5 times the limit, from 3 s after it was stated. */
   maxCallsOverLimit = -Infinity;
 
@@ -70,8 +76,17 @@
     return { running: this.running.length, waiting: this.waiting.length };
   }
 
-  /** Runs or queues a call, or rejects it when the queue is full. */
-  accept(job: ModelJob): void {
+  /** Time for which it wants no calls, as its refusals state; null when they state none. */
+  quietMs(now: number): number | null {
+    return this.quietUntil > now ? this.quietUntil - now : null;
+  }
+
+  /** Runs or queues a call, or rejects it when the queue is full or the target wants no calls. */
+  accept(job: ModelJob, now: number): void {
+    if (this.quietMs(now) !== null) {
+      job.onEnd('refused');
+      return;
+    }
     const { greyFailure } = this;
     if (greyFailure !== null && this.random.next() < 0.5) {
       const { onEnd } = job;
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -1,5 +1,10 @@
 import { type CatalogChanges, decodeChanges, encodeChanges, Ledger } from '../../src/catalog';
-import { type DatagramLink, Exchange, type HostAddress } from '../../src/exchange';
+import {
+  type DatagramLink,
+  Exchange,
+  type ExchangeParts,
+  type HostAddress,
+} from '../../src/exchange';
 import {
   InFlightBroadcaster,
   InFlightTable,
@@ -35,6 +40,13 @@
   pullsServed: number;
 }
 
+/** Makes what a started host decides by what it receives; `exchange` may be called later. */
+export type MakeDecisions = (
+  address: HostAddress,
+  ledger: Ledger,
+  exchange: () => Exchange,
+) => Partial<ExchangeParts>;
+
 /**
  * Simulated hosts of several zones on a network with packet loss and partitions, in simulated time.
  */
@@ -57,6 +69,8 @@
 
   private readonly listeners = new Map<string, (bytes: Buffer, fromIp: string) => void>();
 
+  private readonly idsByIp = new Map<string, string>();
+
   private nextIncarnation = 0;
 
   constructor(
@@ -66,6 +80,8 @@
     private readonly seeds: () => readonly string[],
     /** Read by the reader of each zone; without it, hosts only learn from each other. */
     private readonly source: SimulatedSource | null = null,
+    /** By default a host only records what it receives. */
+    private readonly makeDecisions: MakeDecisions = () => ({}),
   ) {}
 
   /** Starts a host, or restarts it without its previous state. */
@@ -92,7 +108,7 @@
       hasInFlightBroadcasts: () =>
         !isLargeZone(this.hosts.get(id)!.exchange.membership.neighbours().length),
     });
-    const exchange = new Exchange({
+    const exchange: Exchange = new Exchange({
       ...{ clock: this.clock, link, ledger, self: address, zones: this.zones },
       random: new SeededRandom(this.nextIncarnation),
       events: { emit: () => {} },
@@ -112,6 +128,7 @@
       onNotices: ({ crashes }) => {
         for (const history of crashes) crashTable.apply(history);
       },
+      ...this.makeDecisions(address, ledger, () => exchange),
     });
     const host: SimulatedHost = {
       address,
@@ -128,6 +145,7 @@
       pullsServed: 0,
     };
     this.hosts.set(id, host);
+    this.idsByIp.set(ip, id);
     exchange.start();
     void host.reader?.run();
     return host;
@@ -184,7 +202,7 @@
   }
 
   private byIp(ip: string): SimulatedHost | undefined {
-    return [...this.hosts.values()].find((host) => host.address.ip === ip);
+    return this.hosts.get(this.idsByIp.get(ip) ?? '');
   }
 
   private send(from: HostAddress, toIp: string, bytes: Buffer): void {
