--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -1,5 +1,10 @@
 import { type CatalogChanges, decodeChanges, encodeChanges, Ledger } from '../../src/catalog';
-import { type DatagramLink, Exchange, type HostAddress } from '../../src/exchange';
+import {
+  type DatagramLink,
+  Exchange,
+  type ExchangeParts,
+  type HostAddress,
+} from '../../src/exchange';
 import {
   InFlightBroadcaster,
   InFlightTable,
@@ -38,6 +43,13 @@
   pullsServed: number;
 }
 
+/** Makes what a started host decides by what it receives; `exchange` may be called later. */
+export type MakeDecisions = (
+  address: HostAddress,
+  ledger: Ledger,
+  exchange: () => Exchange,
+) => Partial<ExchangeParts>;
+
 /**
  * Simulated hosts of several zones on a network with packet loss and partitions, in simulated time.
  */
@@ -74,6 +86,8 @@
     private readonly seeds: () => readonly string[],
     /** Read by the reader of each zone; without it, hosts only learn from each other. */
     private readonly source: SimulatedSource | null = null,
+    /** By default a host only records what it receives. */
+    private readonly makeDecisions: MakeDecisions = () => ({}),
   ) {}
 
   /** Starts a host, or restarts it without its previous state. */
@@ -102,7 +116,7 @@
       hasInFlightBroadcasts: () =>
         !isLargeZone(this.hosts.get(id)!.exchange.membership.neighbours().length),
     });
-    const exchange = new Exchange({
+    const exchange: Exchange = new Exchange({
       ...{ clock: this.clock, link, ledger, self: address, zones: this.zones },
       random: new SeededRandom(this.nextIncarnation),
       events: { emit: () => {} },
@@ -127,6 +141,7 @@
         for (const history of crashes) crashTable.apply(history);
         for (const target of leaving) targetStates.recordLeaving(target);
       },
+      ...this.makeDecisions(address, ledger, () => exchange),
     });
     const host: SimulatedHost = {
       address,
