Reject IP addresses with numbers above 255

Cause: a source such as 999.0.0.1:80 passed as an address. The reader of the catalog ended with 'Invalid URL' (event 2315), and the host waited for its configuration without another line.

Change: such an address is an invalid setting, which is awaited and named (event 2318).

Before: the case in test/settings failed. After: it passes.

--- a/src/settings/balancerSettings.ts
+++ b/src/settings/balancerSettings.ts
@@ -1,3 +1,5 @@
+import { isIPv4 } from 'node:net';
+
 import * as z from 'zod';
 
 import { type SettingTable, type SettingValues } from './settingDefinition';
@@ -7,6 +9,7 @@
 const address = z
   .string()
   .regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'must be an IP address and a port')
+  .refine((text) => isIPv4(text.split(':')[0]!), 'must have an IP address with numbers up to 255')
   .refine((text) => Number(text.split(':')[1]) <= MAX_PORT, 'must have a port up to 65535');
 const commaSeparatedList = z
   .string()
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -122,4 +122,11 @@
   expect(valuesOf({ ...empty, ...required })).toEqual(valuesOf(required));
   const withoutZone = { arguments: [], environment: {}, file: { ...required, zone: '' } };
   expect(readSettings(BALANCER_SETTINGS, withoutZone).err).toBe(true);
+  // Guards against a host that cannot read the catalog since no URL has such an address.
+  const impossible = {
+    arguments: [],
+    environment: {},
+    file: { ...required, source: '999.0.0.1:80' },
+  };
+  expect(readSettings(BALANCER_SETTINGS, impossible).err).toBe(true);
 });
