--- a/soak/balancers/readinessWatch.ts
+++ b/soak/balancers/readinessWatch.ts
@@ -53,7 +53,8 @@
     const isTakenBack = life.wasReady && status !== null;
     if ((!isLate && !isTakenBack) || this.reported.get(host) === since) return;
     this.reported.set(host, since);
-    const text = `${host.name}: readiness ${status} after ${Math.round(waitedMs)} ms without obstacle`;
+    const answer = status ?? `without an answer (${host.silence})`;
+    const text = `${host.name}: readiness ${answer} after ${Math.round(waitedMs)} ms without obstacle`;
     const before = life.wasReady ? ', was ready before' : '';
     this.findings.add('READY', `${text}${before}; ${life.lastLines()}`);
   }
--- a/soak/balancers/soakHost.ts
+++ b/soak/balancers/soakHost.ts
@@ -26,6 +26,9 @@
   /** Monotonic time at which the last obstacle to being ready went away; Infinity while one is there. */
   clearSince = performance.now();
 
+  /** Why the last question for its readiness had no answer. */
+  silence = '';
+
   private readonly lives: HostLife[] = [];
 
   private obstacles = 0;
@@ -87,8 +90,11 @@
         response.resume();
         resolve(response.statusCode!);
       });
-      asked.on('timeout', () => asked.destroy());
-      asked.on('error', () => resolve(null));
+      asked.on('timeout', () => asked.destroy(new Error('no answer in time')));
+      asked.on('error', ({ message }) => {
+        this.silence = message;
+        resolve(null);
+      });
       asked.end();
     });
   }
