Go on with a stop whose announcement fails

Cause: the stop told the other hosts before it began to complete the calls. An unexpected error in that ended the process with code 1 at once, with its calls unanswered.

Change: the announcement is a task, which is tried again.

Before: in test/balancer/endedTasks beginStop threw the injected error. After: it is logged (event 2321), and the stop goes on.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -268,7 +268,8 @@
    */
   beginStop(deadline: number): void {
     this.stopDeadline = deadline;
-    this.exchange.announce();
+    // An error would end the process, and with it the calls that the stop completes.
+    void this.tasks.run('announcing the stop', () => this.exchange.announce());
   }
 
   private isStopping(): boolean {
--- a/src/lifecycle/supervisor.ts
+++ b/src/lifecycle/supervisor.ts
@@ -18,7 +18,7 @@
    * Runs `loop` until it ends without an error. After each error it is started again, after a delay that
    * doubles from 100 ms up to 2 s. It never rejects.
    */
-  async run(task: string, loop: () => Promise<void>): Promise<void> {
+  async run(task: string, loop: () => Promise<void> | void): Promise<void> {
     let retryMs = BASE_DELAY_MS;
     for (;;) {
       const startedAt = this.clock.now();
--- a/test/balancer/endedTasks.test.ts
+++ b/test/balancer/endedTasks.test.ts
@@ -81,6 +81,19 @@
     expect(waiting.at(-1)).toBe(0);
   });
 
+  // Guards against a stop that ends with code 1 and cuts off the calls that it was to complete.
+  it('a stop is announced again', async () => {
+    const stopping = new TestPlatform();
+    await stopping.start({ waitReady: false });
+    const { exchange } = stopping.balancer as unknown as { exchange: object };
+    const fault = injectFault(exchange, 'announce');
+    fault.isArmed = true;
+    stopping.balancer!.beginStop(Infinity);
+    await stopping.until(() => stopping.events.some(({ number }) => number === 2321));
+    await stopping.stop();
+    expect(fault.isArmed).toBe(false);
+  });
+
   it('missing changes are pulled and addresses are opened', async () => {
     const clock = new SystemClock();
     const tasks = new Supervisor(clock, () => {});
