--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -94,7 +94,8 @@
    */
   beginStop(deadline: number): void {
     this.stopDeadline = deadline;
-    this.knowledge.exchange.announce();
+    // An error would end the process, and with it the calls that the stop completes.
+    void this.tasks.run('announcing the stop', () => this.knowledge.exchange.announce());
   }
 
   private isStopping(): boolean {
