Withdraw calls from targets that want none when they are about to leave

Seen: calls reached a target more than half a second after its 503 with Retry-After. Nothing asked whether a target still takes calls between the placement of a call and its first byte, while its connection opened or a kept connection was checked.

At the moment of the first byte the host now asks again: is the target in the catalog, of the same start, ready, in a zone in service; has it asked for quiet or said that it leaves; may it be down; was the call counted against its rate, if it has one by now; does the host stop; does the call crash targets. One check for first attempts, second attempts, hedges and calls at the rate of a cold target, on new and kept connections. A withdrawn attempt frees its slot, gives back its retry and its share of the rate, tells nothing about the target, and its connection is kept. Calls that wait are checked against crashes too.

--- a/src/delivery/attempt.ts
+++ b/src/delivery/attempt.ts
@@ -70,6 +70,10 @@
     if (this.hasOpenRest || !this.hasEnded) this.connection.close();
   }
 
+  withdrawal(): string | null {
+    return this.observer.withdrawal(this);
+  }
+
   onSent(): void {
     this.sentAt = this.clock.now();
   }
@@ -136,13 +140,14 @@
   }
 
   onError(error: ConnectionError): void {
-    this.connections.release(this.connection, false);
+    this.connections.release(this.connection, error.kind === 'withdrawn');
     if (this.hasEnded) {
       this.hasOpenRest = false;
       this.resolveRest?.(false);
       return;
     }
-    const end = this.sentAt === null ? 'notSent' : 'unknown';
+    const unsentEnd = error.kind === 'withdrawn' ? 'withdrawn' : 'notSent';
+    const end = this.sentAt === null ? unsentEnd : 'unknown';
     this.finish({ end, answer: null, error: error.kind, message: error.message });
   }
 
--- a/src/delivery/attemptHistory.ts
+++ b/src/delivery/attemptHistory.ts
@@ -36,11 +36,6 @@
     return this.sent;
   }
 
-  /** Why the last attempt gave no usable answer. */
-  message(): string {
-    return this.failureMessage;
-  }
-
   /** Records an attempt without a usable answer. */
   record({ end, answer, message }: AttemptResult): void {
     if (end === 'notSent') this.unsent += 1;
@@ -54,7 +49,7 @@
   nextStep(end: AttemptOutcome, { leftMs, workMs, isSuspect }: CallOutlook): RetryDecision {
     const { route, body } = this.call;
     const isBodyBuffered = body === null || Buffer.isBuffer(body);
-    if (!isBodyBuffered && end !== 'notSent') return 'finish';
+    if (!isBodyBuffered && end !== 'notSent' && end !== 'withdrawn') return 'finish';
     if (isSuspect && end === 'unknown') return 'finish';
     return decideRetry(end, {
       ...{ leftMs, workMs },
@@ -69,7 +64,9 @@
   end(): CallEnd | null {
     if (!this.mayHaveRun) return null;
     const detail = this.failureMessage;
-    return this.forwardedFailure() ?? { kind: 'own', own: { kind: 'unknown', status: 502, detail } };
+    return (
+      this.forwardedFailure() ?? { kind: 'own', own: { kind: 'unknown', status: 502, detail } }
+    );
   }
 
   /** The end of a call at its deadline; null if it was not sent. `hasSent`: a running attempt was. */
--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -51,6 +51,9 @@
   /** Why the call waits; null while it does not. */
   private waitReason: RefusalReason | null = null;
 
+  /** Whether the call adds to the retry budget of its service. */
+  private isCounted = false;
+
   private isFinished = false;
 
   /** Entry of the call in the wait queue of its service. */
@@ -80,7 +83,6 @@
     this.timers.push(
       clock.setTimer(this.call.deadline, () => this.mailbox.put({ kind: 'deadline' })),
     );
-    if (this.context.crashes.isRefused(this.call)) return this.finish(this.refuse('crashes'));
     let end = this.place();
     while (end === null) {
       const event = await this.mailbox.next();
@@ -99,6 +101,7 @@
   private place(): CallEnd | null {
     if (this.call.deadline > this.context.stopDeadline())
       return this.finishWithoutRetry('stopping');
+    if (this.context.crashes.isRefused(this.call)) return this.finishWithoutRetry('crashes');
     const placement = this.context.placer.place(this.call, this.triedTargets, true);
     this.logPlacement(placement);
     return match(placement)
@@ -148,8 +151,8 @@
       if (this.isFinished) result.answer?.rest?.cancel();
       else this.mailbox.put({ kind: 'ended', attempt: ended, result });
     });
-    this.context.placer.admission.recordSent(targetId);
-    if (this.triedTargets.size === 0) this.context.recordFirstAttempt(this.call.service);
+    if (!this.isCounted) this.context.recordFirstAttempt(this.call.service);
+    this.isCounted = true;
     this.triedTargets.add(targetId);
     this.runningAttempts.add(attempt);
     attempt.start();
@@ -205,12 +208,21 @@
   private handleAttemptEnd(attempt: RunningAttempt, result: AttemptResult): CallEnd | null {
     this.runningAttempts.delete(attempt);
     if (result.end === 'answered') return { kind: 'answer', answer: result.answer! };
-    this.history.record(result);
+    if (result.end === 'withdrawn') this.takeBack(attempt);
+    else this.history.record(result);
     if (this.runningAttempts.size > 0) return null;
-    return this.retryOrFinish(attempt, result.end);
+    return this.retryOrFinish(attempt, result);
+  }
+
+  // The call may be sent to the same target later, and has used no retry.
+  private takeBack({ target }: RunningAttempt): void {
+    this.triedTargets.delete(target.id);
+    const wasSent = [...this.runningAttempts].some(({ sentAt }) => sentAt !== null);
+    if (wasSent || this.history.sentAttempts() > 0) this.context.returnRetry(this.call.service);
   }
 
-  private retryOrFinish(attempt: RunningAttempt, end: AttemptOutcome): CallEnd | null {
+  private retryOrFinish(attempt: RunningAttempt, result: AttemptResult): CallEnd | null {
+    const { end, message } = result;
     const step = this.history.nextStep(end, {
       leftMs: this.call.deadline - this.context.clock.now(),
       workMs: this.workMs(),
@@ -220,7 +232,7 @@
     this.context.events.emit(DELIVERY_EVENTS.attemptFailed, {
       call: this.call.id,
       end,
-      reason: this.history.message(),
+      reason: message,
       attempts: this.history.sentAttempts(),
       step,
     });
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -141,12 +141,15 @@
       load: targetState === undefined ? 0 : this.targetStates.load(targetState),
     };
     this.targetStates.recordSent(targetId);
+    const isRated = this.placer.admission.recordPlaced(target);
     let abortTimer: Timer | null = null;
     const attempt = this.transmit(call, target, {
+      withdrawal: () => this.withdrawal(call, target, isRated),
       onHead: (sent, head) => this.observer.recordHead(sent, head, priorState),
       onEnd: (ended, result) => {
         abortTimer?.cancel();
         this.targetStates.recordEnded(targetId);
+        if (result.end === 'withdrawn' && isRated) this.placer.admission.recordWithdrawn(target);
         this.observer.recordEnd(ended, result);
         this.placer.waitQueueOf(call.service).wake(CALLS_WOKEN_PER_END);
         onEnd(ended, result);
@@ -166,6 +169,16 @@
     return isAcquired;
   }
 
+  returnRetry(service: string): void {
+    this.budgetOf(service).release();
+  }
+
+  private withdrawal(call: IncomingCall, target: Target, isRated: boolean): string | null {
+    if (call.deadline > this.stopDeadline()) return 'host is stopping';
+    if (this.crashes.isRefused(call)) return 'call crashes targets';
+    return this.placer.admission.withdrawal(target, isRated);
+  }
+
   private budgetOf(service: string): RetryBudget {
     let budget = this.retryBudgets.get(service);
     if (budget === undefined) {
--- a/src/delivery/deliveryContext.ts
+++ b/src/delivery/deliveryContext.ts
@@ -28,4 +28,6 @@
   recordFirstAttempt(service: string): void;
   /** Acquires one retry or hedge from the retry budget of a service; false when it is exhausted. */
   acquireRetry(service: string): boolean;
+  /** Returns a retry or hedge that was acquired and not sent. */
+  returnRetry(service: string): void;
 }
--- a/src/delivery/targetAdmission.ts
+++ b/src/delivery/targetAdmission.ts
@@ -32,11 +32,39 @@
     this.rateLimiter.retainTargets((target) => catalog.targets.has(target));
   }
 
-  /** Counts a call that is sent to a target against the rate of the target. */
-  recordSent(targetId: string): void {
-    const target = this.parts.catalog().targets.get(targetId);
-    if (target === undefined || this.callRate(target) === Infinity) return;
-    this.rateLimiter.record(targetId);
+  /** Counts a call against the rate of its target; returns whether the target has one. */
+  recordPlaced(target: Target): boolean {
+    const isRated = this.callRate(target) !== Infinity;
+    if (isRated) this.rateLimiter.record(target.id);
+    return isRated;
+  }
+
+  /** Takes back what `recordPlaced` has counted. */
+  recordWithdrawn(target: Target): void {
+    this.rateLimiter.withdraw(target.id);
+  }
+
+  /**
+   * Why a call that was placed on `target` must not be sent to it now; null if it may be sent. The
+   * target may have changed since, as a connection takes time to open. `isRated`: the call was counted
+   * against the rate of the target.
+   */
+  withdrawal(target: Target, isRated: boolean): string | null {
+    const { catalog, targetStates } = this.parts;
+    const { targets, zonesOut } = catalog();
+    const current = targets.get(target.id);
+    if (current === undefined) return 'target was removed';
+    if (current.startedAt !== target.startedAt || current.address !== target.address)
+      return 'target was started again';
+    if (current.state !== 'ready') return 'target is draining';
+    if (zonesOut.has(current.zone)) return 'zone is out of service';
+    const targetState = targetStates.get(target.id)!;
+    // The call itself counts as one in flight.
+    if (targetStates.isQuiet(target.id) || targetState.ownInFlight > targetState.callAllowance)
+      return 'target wants no calls';
+    if (this.isUnconfirmed(targetState)) return 'target may be down';
+    if (!isRated && this.callRate(current) !== Infinity) return 'target limits its calls';
+    return null;
   }
 
   /**
--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -97,6 +97,7 @@
     this.activeListener = listener;
     const { method, path, headers, body } = request;
     let isStarted = false;
+    let withdrawal: string | null = null;
     let isFramed = true;
     let interimAnswers = 0;
     let isNotModified = false;
@@ -108,6 +109,9 @@
         { method, path, headers: [...headers], body },
         {
           onRequestStart: (controller) => {
+            withdrawal = listener.withdrawal();
+            // undici then drops the request, and keeps the connection.
+            if (withdrawal !== null) throw new Error(withdrawal);
             this.controller = controller;
             isStarted = true;
             listener.onSent();
@@ -150,6 +154,10 @@
           },
           onResponseError: (controller, error) => {
             if (this.activeListener !== listener) return;
+            if (withdrawal !== null) {
+              this.withdrawRequest(listener, withdrawal);
+              return;
+            }
             const { code } = error as Error & { code?: string };
             // undici expects the body of which a 304 states the length; it has closed the connection.
             if (isNotModified && code === LENGTH_MISMATCH_CODE) {
@@ -194,6 +202,12 @@
     listener.onEnd(isFramed);
   }
 
+  private withdrawRequest(listener: ExchangeListener, message: string): void {
+    this.activeListener = null;
+    this.lastUsedAt = this.clock.now();
+    listener.onError({ kind: 'withdrawn', message });
+  }
+
   private failRequest(error: ConnectionError): void {
     const listener = this.activeListener;
     this.activeListener = null;
--- a/src/delivery/targetObserver.ts
+++ b/src/delivery/targetObserver.ts
@@ -11,6 +11,7 @@
 import { type AnswerHead } from './answerHead';
 import { type TargetLoad } from './answerMetadata';
 import { type AttemptResult } from './attemptResult';
+import { type ConnectionErrorKind } from './connectionError';
 import { type CrashGuard } from './crashGuard';
 import { DELIVERY_EVENTS } from './events';
 import { type Placer } from './placer';
@@ -30,6 +31,9 @@
 
 const NOTHING_STATED: StatedByTarget = { load: null, coldLeft: null, callLimit: null };
 
+// Ends that say nothing about the target.
+const OWN_ENDS: ReadonlySet<ConnectionErrorKind> = new Set(['aborted', 'withdrawn']);
+
 /** Dependencies of the observer of targets. */
 export interface TargetObserverParts {
   readonly clock: Clock;
@@ -85,7 +89,7 @@
     const { target, call } = attempt;
     const { crashes, events } = this.parts;
     if (result.end === 'answered') crashes.recordAnswered(call);
-    if (result.error === 'aborted' || result.error === null) return;
+    if (result.error === null || OWN_ENDS.has(result.error)) return;
     events.emit(DELIVERY_EVENTS.targetLost, {
       call: call.id,
       target: target.id,
--- a/src/delivery/targetProbe.ts
+++ b/src/delivery/targetProbe.ts
@@ -57,6 +57,7 @@
       connection.send(
         { method: 'GET', path: service.probePath, headers: ['host', target.address], body: null },
         {
+          withdrawal: () => null,
           onSent: () => {
             silentSince = clock.now();
           },
--- a/src/placement/attemptOutcome.ts
+++ b/src/placement/attemptOutcome.ts
@@ -8,5 +8,7 @@
   | 'notRun'
   /** No byte of the call was sent. */
   | 'notSent'
+  /** No byte of the call was sent, because its target takes no calls any more. */
+  | 'withdrawn'
   /** The call was sent and may have run, but there is no usable answer. */
   | 'unknown';
--- a/src/placement/callRateLimiter.ts
+++ b/src/placement/callRateLimiter.ts
@@ -27,6 +27,11 @@
     this.sendTimes.set(target, [...recent, now]);
   }
 
+  /** Forgets the last call recorded for `target`, which was not sent. */
+  withdraw(target: string): void {
+    this.sendTimes.set(target, (this.sendTimes.get(target) ?? []).slice(0, -1));
+  }
+
   /** Removes the state of targets for which `has` is false. */
   retainTargets(has: (target: string) => boolean): void {
     for (const target of this.sendTimes.keys()) if (!has(target)) this.sendTimes.delete(target);
--- a/src/placement/decideRetry.ts
+++ b/src/placement/decideRetry.ts
@@ -30,6 +30,11 @@
   failed: (input) => (input.isIdempotent && mayRetry(input) ? 'repeat' : 'finish'),
   notRun: (input) => (mayRetry(input) ? 'repeat' : 'finish'),
   notSent: (input) => (input.unsent < MAX_UNSENT && input.leftMs > 0 ? 'resend' : 'finish'),
+  // The retry of a withdrawn attempt was returned.
+  withdrawn: (input) => {
+    if (input.attempts === 0) return input.leftMs > 0 ? 'resend' : 'finish';
+    return mayRetry(input) ? 'repeat' : 'finish';
+  },
   unknown: (input) => (input.isIdempotent && mayRetry(input) ? 'repeat' : 'finish'),
 };
 
--- a/src/placement/retryBudget.ts
+++ b/src/placement/retryBudget.ts
@@ -53,6 +53,19 @@
     return true;
   }
 
+  /** Returns a retry that was acquired a moment ago and not sent. */
+  release(): void {
+    this.advance();
+    // The oldest one, so that no other ends earlier than it should.
+    for (let offset = 1; offset <= BUCKET_COUNT; offset += 1) {
+      const index = (this.currentBucket + offset) % BUCKET_COUNT;
+      if (this.retries[index]! > 0) {
+        this.retries[index]! -= 1;
+        return;
+      }
+    }
+  }
+
   private allowedRetries(hosts: number): number {
     const age = Math.min(1, (this.clock.now() - this.startedAt) / this.limits.windowMs);
     return this.limits.ratio * sum(this.firstAttempts) + (this.limits.slack * age) / hosts;
--- a/test/balancer/heldUp.test.ts
+++ b/test/balancer/heldUp.test.ts
@@ -57,6 +57,7 @@
           connection.send(
             { method: 'GET', path: '/x', headers: ['host', address], body: null },
             {
+              withdrawal: () => null,
               onSent: () => {},
               onHead: () => {},
               onData: () => true,
