--- a/src/delivery/attemptHistory.ts
+++ b/src/delivery/attemptHistory.ts
@@ -36,11 +36,6 @@
     return this.sent;
   }
 
-  /** Why the last attempt gave no usable answer. */
-  message(): string {
-    return this.failureMessage;
-  }
-
   /** Records an attempt without a usable answer. */
   record({ end, answer, message }: AttemptResult): void {
     if (end === 'notSent') this.unsent += 1;
@@ -54,7 +49,7 @@
   nextStep(end: AttemptOutcome, { leftMs, workMs, isSuspect }: CallOutlook): RetryDecision {
     const { route, body } = this.call;
     const isBodyBuffered = body === null || Buffer.isBuffer(body);
-    if (!isBodyBuffered && end !== 'notSent') return 'finish';
+    if (!isBodyBuffered && end !== 'notSent' && end !== 'withdrawn') return 'finish';
     if (isSuspect && end === 'unknown') return 'finish';
     return decideRetry(end, {
       ...{ leftMs, workMs },
