Hedge a call that has passed its last moment for an answer in time

A lookup at a silent server ended with 504 at its time limit, although another server would have answered.

Cause: a hedge needed a target that can still answer within the latency objective. For an objective of 200 ms and a usual time of 72 ms that left 30 ms, from the 97th to the 127th after the call was sent; a host that was held up then never hedged the call, though `shouldHedge` asked for it at each recheck until the deadline.

A hedge that misses the objective is now sent if the first target is lost or has taken 2.7 times the usual time at its pace, to a slot that no other call needs and within the retry budget as before.

--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -11,6 +11,7 @@
   type RefusalReason,
   retryAfter,
   shouldHedge,
+  isUnlikelyToAnswer,
   type QueuedCall,
 } from '../placement';
 
@@ -200,8 +201,9 @@
     const placement = this.context.placer.place(this.call, this.triedTargets, false);
     if (placement.kind !== 'send' || placement.reason === 'onlyCold') return;
     // During a burst a hedge without a free slot would only lengthen the queues.
+    const hasSlot = placement.hasRoom || (placement.hasFreeSlot && isUnlikelyToAnswer(input));
     const isBeneficial =
-      placement.hasRoom && placement.expectedMs < Math.max(input.objectiveLeftMs, input.workMs * 2);
+      hasSlot && placement.expectedMs < Math.max(input.objectiveLeftMs, input.workMs * 2);
     if (!isBeneficial || !this.context.acquireRetry(this.call.service)) return;
     this.context.events.emit(DELIVERY_EVENTS.hedged, {
       call: this.call.id,
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -311,6 +311,7 @@
         target: candidate.target,
         expectedMs: requirements.workMs * 2,
         reason: 'onlyCold',
+        hasFreeSlot: false,
         hasRoom: false,
       };
     }
--- a/src/placement/chooseTarget.ts
+++ b/src/placement/chooseTarget.ts
@@ -163,6 +163,7 @@
     target: best.candidate.target,
     expectedMs: best.expectedMs,
     reason: placementReason(best, requirements),
+    hasFreeSlot: isUncontended && !requirements.hasCallAhead,
     hasRoom: hasTimelySlot && !requirements.hasCallAhead,
   };
 }
--- a/src/placement/hedge.ts
+++ b/src/placement/hedge.ts
@@ -32,6 +32,14 @@
   return isLastMoment || elapsedMs > workMs * 2 * LATE_FACTOR;
 }
 
+/**
+ * Whether the first target gives so little hope of an answer that a hedge is worth its load even if it
+ * misses the objective. A host that was held up may notice this too late for a hedge in time.
+ */
+export function isUnlikelyToAnswer({ elapsedMs, workMs, pace, isLost }: HedgeInput): boolean {
+  return isLost || elapsedMs > workMs * Math.max(1, pace / 100) * 2 * LATE_FACTOR;
+}
+
 /** Time in milliseconds after which a running attempt is checked again. */
 export function hedgeRecheckMs(workMs: number): number {
   return Math.max(8, workMs * 0.2);
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -6,7 +6,7 @@
 export { chooseTarget } from './chooseTarget';
 export { type AttemptOutcome } from './attemptOutcome';
 export { decideRetry, type RetryInput, type RetryDecision } from './decideRetry';
-export { shouldHedge, hedgeRecheckMs, type HedgeInput } from './hedge';
+export { shouldHedge, isUnlikelyToAnswer, hedgeRecheckMs, type HedgeInput } from './hedge';
 export { WaitQueue, type QueuedCall } from './waitQueue';
 export { retryAfter } from './retryAfter';
 export { RetryBudget, type RetryBudgetLimits } from './retryBudget';
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -7,7 +7,9 @@
       readonly target: string;
       readonly expectedMs: number;
       readonly reason: PlacementReason;
-      /** Whether the target has a free slot beyond the one that the call takes. */
+      /** Whether the target has a free slot for it that no other call needs. */
+      readonly hasFreeSlot: boolean;
+      /** Whether it has one and can answer within the objective. */
       readonly hasRoom: boolean;
     }
   | {
