Parse what callers send in portions that share the event loop

Seen: 20 callers with bodies of 240,000 chunks of one byte made calls beside them wait 10.5 s, 50 callers with 4,000 calls behind each other 23 s. Node.js hands each read of 64 KB to the parser as a whole: ten thousand chunks, or hundreds of calls that begin at once, from each connection in one turn of the event loop. Pausing the socket at 64 open calls did not stop what was read, and each answer resumed it.

A read of more than 4 KB is now parsed in portions of 4 KB, of all callers in turn, for 5 ms of each turn of the event loop. Meanwhile the socket is not read. A caller with 16 calls that are not answered completely is not read either; nothing is refused for it.

--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -3,7 +3,7 @@
 
 import { type Catalog } from '../catalog';
 import { type EventSink } from '../logging';
-import { type Clock, type Random, type Timer } from '../runtime';
+import { type Clock, type Random, type Timer, TurnQueue } from '../runtime';
 import { retryAfter } from '../placement';
 
 import { type CallEnd } from './callEnd';
@@ -41,6 +41,9 @@
 
 const TURNED_AWAY_LOG_INTERVAL_MS = 1000;
 
+// Time in each turn of the event loop for callers that send much at once.
+const BULK_SHARE_MS = 5;
+
 function bytesOf(chunks: readonly Buffer[]): number {
   return chunks.reduce((sum, chunk) => sum + chunk.length, 0);
 }
@@ -77,6 +80,8 @@
 
   private readonly serviceChoice: WeightedRoundRobin;
 
+  private readonly turns: TurnQueue;
+
   private runningCalls = 0;
 
   /** Connections turned away since this was last logged. */
@@ -94,6 +99,7 @@
 
   constructor(private readonly parts: CallServerParts) {
     this.serviceChoice = new WeightedRoundRobin(parts.random);
+    this.turns = new TurnQueue(parts.clock, BULK_SHARE_MS);
     this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
     this.server.requestTimeout = 0;
     this.server.maxConnections = parts.maxConnections;
@@ -141,7 +147,7 @@
   }
 
   private addConnection(socket: Socket): void {
-    this.connections.set(socket, new CallerConnection(socket, this.parts.clock));
+    this.connections.set(socket, new CallerConnection(socket, this.parts.clock, this.turns));
     socket.once('close', () => this.connections.delete(socket));
   }
 
--- a/src/delivery/callerConnection.ts
+++ b/src/delivery/callerConnection.ts
@@ -1,15 +1,16 @@
 import { type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
 
-import { type Clock } from '../runtime';
+import { type Clock, type TurnQueue } from '../runtime';
 
 import { type CallEnd } from './callEnd';
+import { CallerInput } from './callerInput';
 import { type CallRun } from './callRun';
 
 // A caller that has read its last answer closes the connection; one that does not is disconnected.
 const LINGER_MS = 500;
 // Calls sent behind others are not read while this many are open.
-const MAX_OPEN_CALLS = 64;
+const MAX_OPEN_CALLS = 16;
 
 /** The connection of a caller, with the calls on it that are not completely answered. */
 export class CallerConnection {
@@ -21,10 +22,14 @@
 
   private mayReadCalls = true;
 
+  private readonly input: CallerInput;
+
   constructor(
     private readonly socket: Socket,
     private readonly clock: Clock,
+    turns: TurnQueue,
   ) {
+    this.input = new CallerInput(socket, turns);
     // Node.js calls this behind an answer that closes the connection. Its own version closes the socket
     // at once, which resets the connection if the caller has sent more: the answer may be lost.
     socket.destroySoon = () => this.close();
@@ -66,11 +71,11 @@
         if (!this.openCalls.delete(end)) return;
         onEnd();
         resolve();
-        if (this.openCalls.size === MAX_OPEN_CALLS - 1) this.socket.resume();
+        if (this.openCalls.size < MAX_OPEN_CALLS) this.input.release();
         if (!this.mayReadCalls && !this.hasOpenCalls()) this.close();
       };
       this.openCalls.add(end);
-      if (this.openCalls.size >= MAX_OPEN_CALLS) this.socket.pause();
+      if (this.openCalls.size >= MAX_OPEN_CALLS) this.input.hold();
       response.once('close', end);
     });
     return earlierCallsEnded;
@@ -89,6 +94,7 @@
     if (this.socket.writableEnded || this.socket.destroyed) return;
     this.mayReadCalls = false;
     this.socket.end();
+    this.input.release();
     this.socket.resume();
     const timer = this.clock.setTimer(this.clock.now() + LINGER_MS, () => this.socket.destroy());
     this.socket.once('close', () => timer.cancel());
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -5,6 +5,7 @@
 export { waitUntil } from './waitUntil';
 export { EarliestTimer } from './earliestTimer';
 export { runEvery } from './runEvery';
+export { TurnQueue } from './turnQueue';
 export { afterPendingInput } from './afterPendingInput';
 export { type Random } from './random';
 export { SeededRandom } from './seededRandom';
