--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -69,8 +69,6 @@
 
   private readonly listeners = new Map<string, (bytes: Buffer, fromIp: string) => void>();
 
-  private readonly idsByIp = new Map<string, string>();
-
   private nextIncarnation = 0;
 
   constructor(
@@ -108,7 +106,7 @@
       hasInFlightBroadcasts: () =>
         !isLargeZone(this.hosts.get(id)!.exchange.membership.neighbours().length),
     });
-    const exchange: Exchange = new Exchange({
+    const exchange: Exchange = this.makeExchange(() => exchange, {
       ...{ clock: this.clock, link, ledger, self: address, zones: this.zones },
       random: new SeededRandom(this.nextIncarnation),
       events: { emit: () => {} },
@@ -128,7 +126,6 @@
       onNotices: ({ crashes }) => {
         for (const history of crashes) crashTable.apply(history);
       },
-      ...this.makeDecisions(address, ledger, () => exchange),
     });
     const host: SimulatedHost = {
       address,
@@ -145,7 +142,6 @@
       pullsServed: 0,
     };
     this.hosts.set(id, host);
-    this.idsByIp.set(ip, id);
     exchange.start();
     void host.reader?.run();
     return host;
@@ -174,6 +170,10 @@
     return [...this.hosts.values()].filter((host) => !host.isDown);
   }
 
+  private makeExchange(exchange: () => Exchange, parts: ExchangeParts): Exchange {
+    return new Exchange({ ...parts, ...this.makeDecisions(parts.self, parts.ledger, exchange) });
+  }
+
   private makeReader(
     id: string,
     ledger: Ledger,
@@ -202,7 +202,7 @@
   }
 
   private byIp(ip: string): SimulatedHost | undefined {
-    return this.hosts.get(this.idsByIp.get(ip) ?? '');
+    return [...this.hosts.values()].find((host) => host.address.ip === ip);
   }
 
   private send(from: HostAddress, toIp: string, bytes: Buffer): void {
--- a/test/load/networkedHost.ts
+++ b/test/load/networkedHost.ts
@@ -95,9 +95,10 @@
         crashes: [],
         leaving: this.parts.hasNotices ? targetStates.leavingTargets() : [],
       }),
-      onNotices: ({ leaving }) => {
-        for (const target of leaving) targetStates.recordLeaving(target);
-      },
+      onNotices: ({ leaving }) => ({
+        crashes: [],
+        leaving: leaving.filter((target) => targetStates.recordLeaving(target)),
+      }),
     };
   }
 
