--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -116,7 +116,7 @@
       hasInFlightBroadcasts: () =>
         !isLargeZone(this.hosts.get(id)!.exchange.membership.neighbours().length),
     });
-    const exchange: Exchange = new Exchange({
+    const exchange: Exchange = this.makeExchange(() => exchange, {
       ...{ clock: this.clock, link, ledger, self: address, zones: this.zones },
       random: new SeededRandom(this.nextIncarnation),
       events: { emit: () => {} },
@@ -141,7 +141,6 @@
         for (const history of crashes) crashTable.apply(history);
         for (const target of leaving) targetStates.recordLeaving(target);
       },
-      ...this.makeDecisions(address, ledger, () => exchange),
     });
     const host: SimulatedHost = {
       address,
@@ -188,6 +187,10 @@
     return [...this.hosts.values()].filter((host) => !host.isDown);
   }
 
+  private makeExchange(exchange: () => Exchange, parts: ExchangeParts): Exchange {
+    return new Exchange({ ...parts, ...this.makeDecisions(parts.self, parts.ledger, exchange) });
+  }
+
   private makeReader(
     id: string,
     ledger: Ledger,
