Pass on notices that are news, so that one host's knowledge spreads in time

Cause: what only a host knows that was cut off (a crash that it noticed) reached the others by repetition alone, to two random hosts each half second by each host that knows it: over 3 s for 113 hosts. Change: notices state whether they are repeated; a host to which a repeated one is news sends it to two random hosts at once. Broadcasts reach all hosts, so that their repetition is no news. Version 4 of the datagrams.

--- a/src/balancer/fleetKnowledge.ts
+++ b/src/balancer/fleetKnowledge.ts
@@ -157,10 +157,10 @@
         crashes: this.crashTable.histories(),
         leaving: this.targetStates.leavingTargets(),
       }),
-      onNotices: ({ crashes, leaving }) => {
-        for (const history of crashes) this.crashTable.apply(history);
-        for (const target of leaving) this.targetStates.recordLeaving(target);
-      },
+      onNotices: ({ crashes, leaving }) => ({
+        crashes: crashes.filter((history) => this.crashTable.apply(history)),
+        leaving: leaving.filter((target) => this.targetStates.recordLeaving(target)),
+      }),
     });
   }
 }
--- a/src/exchange/datagramCodec.ts
+++ b/src/exchange/datagramCodec.ts
@@ -3,7 +3,7 @@
 import { changesFieldsSchema, noticesFieldsSchema, heartbeatSchema } from './textSchemas';
 
 /** Protocol version; datagrams of any other version are dropped. */
-export const EXCHANGE_VERSION = 3;
+export const EXCHANGE_VERSION = 4;
 
 /** Largest message that fits into one datagram without IP fragmentation. */
 export const MAX_DATAGRAM_BYTES = 1350;
@@ -84,18 +84,20 @@
     },
   },
   notices: {
-    encode: ({ shouldRebroadcast, crashes, leaving }) => [
+    encode: ({ shouldRebroadcast, isRepeated, crashes, leaving }) => [
       shouldRebroadcast ? 1 : 0,
+      isRepeated ? 1 : 0,
       crashes.map((history) => [
         ...[history.fingerprint, history.crashes, history.cleared, history.leftMs],
       ]),
       leaving.map(({ id, startedAt }) => [id, startedAt]),
     ],
     decode: (fields) => {
-      const [shouldRebroadcast, histories, leaving] = noticesFieldsSchema.parse(fields);
+      const [shouldRebroadcast, isRepeated, histories, leaving] = noticesFieldsSchema.parse(fields);
       return {
         kind: 'notices',
         shouldRebroadcast: shouldRebroadcast === 1,
+        isRepeated: isRepeated === 1,
         crashes: histories.map(([fingerprint, crashes, cleared, leftMs]) => ({
           ...{ fingerprint, crashes, cleared, leftMs },
         })),
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -37,7 +37,8 @@
   ) => void;
   /** The notices that this host knows. */
   readonly notices: () => Notices;
-  readonly onNotices: (notices: Notices) => void;
+  /** Applies notices; returns those that were news. */
+  readonly onNotices: (notices: Notices) => Notices;
 }
 
 type MessageHandlers = {
@@ -101,7 +102,8 @@
       if (message.shouldRebroadcast) this.rebroadcast({ ...message, shouldRebroadcast: false });
     },
     notices: (message) => {
-      this.parts.onNotices(message);
+      const news = this.parts.onNotices(message);
+      if (message.isRepeated) this.noticeGossip.passOn(news);
       if (message.shouldRebroadcast) this.rebroadcast({ ...message, shouldRebroadcast: false });
     },
   };
--- a/src/exchange/message.ts
+++ b/src/exchange/message.ts
@@ -72,6 +72,8 @@
 export interface NoticesMessage extends Notices {
   readonly kind: 'notices';
   readonly shouldRebroadcast?: boolean;
+  /** Whether the sender repeats what it knows; a receiver to which it is news passes it on. */
+  readonly isRepeated?: boolean;
 }
 
 /** Any message between hosts. */
--- a/src/exchange/noticeGossip.ts
+++ b/src/exchange/noticeGossip.ts
@@ -30,14 +30,10 @@
 
   /** Starts the periodic messages; none are sent while nothing is known. */
   start(): void {
-    const { clock, random, membership } = this.parts;
+    const { clock, random } = this.parts;
     this.cancelTimer = runEvery(clock, GOSSIP_INTERVAL_MS, () => {
       const { crashes, leaving } = this.parts.notices();
-      const hosts = [
-        ...sample(random, membership.neighbours(), 1),
-        ...sample(random, membership.live(), 1),
-      ];
-      this.send([...new Set(hosts.map((host) => host.ip))], {
+      this.send(this.randomHosts(), {
         crashes: sample(random, crashes, MAX_NOTICES),
         leaving: sample(random, leaving, MAX_NOTICES),
       });
@@ -49,6 +45,14 @@
     this.cancelTimer();
   }
 
+  /**
+   * Passes on what was news to this host in a repeated message: whoever told the sender may have been
+   * cut off from all others.
+   */
+  passOn(news: Notices): void {
+    this.send(this.randomHosts(), news);
+  }
+
   /** Sends what this host knows to a host that joins. */
   sendAll(ip: string): void {
     const { crashes, leaving } = this.parts.notices();
@@ -60,8 +64,17 @@
       });
   }
 
+  private randomHosts(): readonly string[] {
+    const { random, membership } = this.parts;
+    const hosts = [
+      ...sample(random, membership.neighbours(), 1),
+      ...sample(random, membership.live(), 1),
+    ];
+    return [...new Set(hosts.map((host) => host.ip))];
+  }
+
   private send(ips: readonly string[], { crashes, leaving }: Notices): void {
     if (crashes.length + leaving.length === 0) return;
-    this.parts.send(ips, { kind: 'notices', crashes, leaving });
+    this.parts.send(ips, { kind: 'notices', isRepeated: true, crashes, leaving });
   }
 }
--- a/src/exchange/textSchemas.ts
+++ b/src/exchange/textSchemas.ts
@@ -30,6 +30,7 @@
 
 /** Fields of notices by position. */
 export const noticesFieldsSchema = z.tuple([
+  flag,
   flag,
   z.array(z.tuple([z.string().max(MAX_ID_LENGTH), crashIds, crashIds, count])),
   z.array(z.tuple([z.string().max(MAX_ID_LENGTH), z.number().nullable()])),
--- a/src/suspects/crashTable.ts
+++ b/src/suspects/crashTable.ts
@@ -62,8 +62,8 @@
     return this.history(fingerprint);
   }
 
-  /** Adds what another host knows. */
-  apply({ fingerprint, crashes, cleared, leftMs }: CrashHistory): void {
+  /** Adds what another host knows; returns whether any of it was news. */
+  apply({ fingerprint, crashes, cleared, leftMs }: CrashHistory): boolean {
     this.removeExpired();
     const known = this.records.get(fingerprint) ?? EMPTY_RECORD;
     const record = {
@@ -73,14 +73,15 @@
     const isUnchanged =
       record.crashes.size === known.crashes.size && record.cleared.size === known.cleared.size;
     // A history that tells nothing new doesn't extend the lifetime, which would never end otherwise.
-    if (isUnchanged) return;
-    if (known === EMPTY_RECORD && this.records.size >= MAX_FINGERPRINTS) return;
+    if (isUnchanged) return false;
+    if (known === EMPTY_RECORD && this.records.size >= MAX_FINGERPRINTS) return false;
     const expiresAt = this.clock.now() + Math.min(leftMs, CRASH_LIFETIME_MS);
     this.records.set(fingerprint, {
       ...record,
       expiresAt: Math.max(known.expiresAt, expiresAt),
     });
     this.countSuspects();
+    return true;
   }
 
   /** All histories, to be sent to another host. */
--- a/test/exchange/crashHistories.test.ts
+++ b/test/exchange/crashHistories.test.ts
@@ -13,6 +13,11 @@
 ] as const;
 const SEEDS = (process.env.SEED ?? '1,2').split(',').map(Number);
 const RUNS = SIZES.flatMap(([size, zones]) => SEEDS.map((seed) => [size, zones, seed] as const));
+// In the last two, a host that is cut off is the only one that knows of some of the crashes.
+const CUT_OFF_RUNS = [
+  ...RUNS.filter(([size]) => size <= 113),
+  ...(process.env.SEED === undefined ? [5, 7].map((seed) => [113, 3, seed] as const) : []),
+];
 
 /** Each crash is noticed by one host, which tells the others. */
 function recordCrashes(fleet: SimulatedFleet): void {
@@ -55,7 +60,7 @@
 
   // Guards against hosts that stay without what was broadcast while they were cut off, in a fleet and
   // in one whose hosts then learn that the call was answered.
-  it.each(RUNS.filter(([size]) => size <= 113))(
+  it.each(CUT_OFF_RUNS)(
     'is known to hosts that were cut off: %d hosts in %d zones, seed %d',
     async (size, zones, seed) => {
       const fleet = new SimulatedFleet(size, zones, seed);
--- a/test/exchange/datagramCodec.test.ts
+++ b/test/exchange/datagramCodec.test.ts
@@ -50,6 +50,7 @@
   {
     kind: 'notices',
     shouldRebroadcast: true,
+    isRepeated: true,
     crashes: [{ fingerprint: 'f', crashes: ['i-1 7', 'i-2 9'], cleared: ['i-1 7'], leftMs: 300 }],
     leaving: [
       { id: 'i-1', startedAt: 7 },
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -121,10 +121,10 @@
         crashes: crashTable.histories(),
         leaving: targetStates.leavingTargets(),
       }),
-      onNotices: ({ crashes, leaving }) => {
-        for (const history of crashes) crashTable.apply(history);
-        for (const target of leaving) targetStates.recordLeaving(target);
-      },
+      onNotices: ({ crashes, leaving }) => ({
+        crashes: crashes.filter((history) => crashTable.apply(history)),
+        leaving: leaving.filter((target) => targetStates.recordLeaving(target)),
+      }),
     });
     const host: SimulatedHost = {
       address,
