Count a call at its target only if an attempt begins

Cause: the call was counted before its attempt was made. An unexpected error in between left it counted for as long as the process lived: the target had a slot less for this host, and the others were told so.

Change: it is counted once the attempt exists.

Before: in test/balancer/endedTasks the only slot of a target was taken for good by one error (503 for the next call). After: it is free.

--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -172,7 +172,6 @@
       pace: targetState?.pace ?? USUAL_PACE_PERCENT,
       load: targetState === undefined ? 0 : this.targetStates.load(targetState),
     };
-    this.targetStates.recordSent(targetId);
     let abortTimer: Timer | null = null;
     const attempt = this.transmit(call, target, {
       onHead: (sent, head) => this.recordHead(sent, head, priorState),
@@ -184,6 +183,8 @@
         onEnd(ended, result);
       },
     });
+    // Only an attempt that exists can end, and be counted out again.
+    this.targetStates.recordSent(targetId);
     abortTimer = clock.setTimer(call.deadline + ABORT_GRACE_MS, () => attempt.abort());
     return attempt;
   }
--- a/test/balancer/endedTasks.test.ts
+++ b/test/balancer/endedTasks.test.ts
@@ -61,12 +61,17 @@
     expect(platform.events.filter(({ number }) => number === 2321)).toHaveLength(2);
   });
 
-  // Guards against a queue in which later calls wait behind one that is not there any more.
-  it('a call leaves the queue of its service', async () => {
+  // Guards against a queue or a target that counts calls which are not there any more.
+  it('a call leaves its queue and its target', async () => {
     const waiting: unknown[] = [];
+    const loads: unknown[] = [];
+    const metrics = new PrometheusSink();
+    const isConnection = (name: unknown) => name === BALANCER_METRICS.connections;
+    const fault = injectFault(metrics, 'increment', isConnection);
     let hasThrown = false;
     const emit = ({ number }: EventDefinition, fields: EventFields = {}) => {
       if (number !== 2200) return;
+      loads.push(fields.load);
       waiting.push(fields.waiting);
       if (hasThrown || fields.waiting !== 1) return;
       hasThrown = true;
@@ -74,11 +79,13 @@
     };
     queueing.configure([{ prefix: '/book/', service: 'bookings', isIdempotent: false }]);
     await queueing.addServer('bookings', { id: 'i-1', workMs: 60, slots: 1 });
-    await queueing.start({ parts: { events: { emit } } });
+    await queueing.start({ parts: { events: { emit }, metrics } });
+    fault.isArmed = true;
+    expect((await queueing.call('POST', '/book/0')).status).toBe(502);
     const replies = [queueing.call('POST', '/book/1'), queueing.call('POST', '/book/2')];
     expect((await Promise.all(replies)).map(({ status }) => status).sort()).toEqual([200, 502]);
     await queueing.call('POST', '/book/3');
-    expect(waiting.at(-1)).toBe(0);
+    expect([loads.at(-1), waiting.at(-1)]).toEqual([0, 0]);
   });
 
   // Guards against a stop that ends with code 1 and cuts off the calls that it was to complete.
