Close the listener without resetting connections that were just answered

Cause: a planned stop closes the listener, with which Node.js destroys all connections that are idle. Those whose last answer was written a moment ago are among them. A caller that had not read it and sent more got a reset, with which the answer was lost.

--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -96,6 +96,9 @@
     this.serviceChoice = new WeightedRoundRobin(parts.random);
     this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
     this.server.requestTimeout = 0;
+    // When the listener closes, Node.js would reset connections whose last answers are still being read.
+    // `closeListener` ends the idle ones.
+    this.server.closeIdleConnections = () => {};
     this.server.maxConnections = parts.maxConnections;
     this.server.on('drop', () => this.recordTurnedAway());
     this.server.on('connection', (socket) => this.addConnection(socket));
@@ -127,7 +130,6 @@
    * all their calls answered.
    */
   closeListener(): Promise<void> {
-    // Node.js closes idle connections, but not those on which no request was received yet.
     for (const connection of this.connections.values())
       if (!connection.hasOpenCalls()) connection.close();
     return new Promise((resolve) => {
