Send heartbeats in binary and counts of calls straight to their receivers

Cause: with 22 calls a second each, 17 hosts sent 8,481 B/s a host (bound 6 KB/s; KNOWN-RED.txt, entry b): 1,348 signs of life and 828 lists of members, both JSON text with the id, zone and address of the sender in each, and 6,305 counts of calls. The counts for other zones went through one host of each, with the id of the origin in each, so that few hosts sent most: 16,628 B/s at most. Change (version 4 of the datagrams): - heartbeats are binary, and name a zone once for its members; signs of life in small zones are digests, as in large ones, and a receiver that does not know their sender asks it; - counts go directly to the hosts of other zones that are wholly known, and through one host to the others; the delegate of a zone tells the others of a new host at once, or it would miss counts (the new test failed without); - the sender's counts have no id (its address stands for it), and sequence numbers begin again after 2,047, so that they take two bytes for as long as a host runs. Conclusion: entry b is closed, and entry 5 (bytes at rest: 3,440 B/s at most, 27 hosts; 2,860 at 400 hosts). Fleets of 20 to 27 hosts exceed the bound and are the new entry 5.

--- a/scripts/docs/balancerCapacity.ts
+++ b/scripts/docs/balancerCapacity.ts
@@ -6,32 +6,42 @@
 
 | hosts | mean B/s | largest B/s of a host | datagrams/s |
 | --- | --- | --- | --- |
-| 3 | 364 | 364 | 4.0 |
-| 17 | 2,157 | 4,207 | 27.5 |
-| 33 | 3,791 | 9,300 | 54.0 |
-| 60 | 4,377 | 9,966 | 68.5 |
-| 113 | 4,833 | 11,988 | 75.3 |
+| 3 | 188 | 188 | 4.0 |
+| 17 | 802 | 1,700 | 27.5 |
+| 20 | 879 | 2,145 | 32.5 |
+| 27 | 1,044 | 3,440 | 44.0 |
+| 33 | 503 | 507 | 7.0 |
+| 60 | 775 | 777 | 7.0 |
+| 113 | 1,307 | 1,321 | 7.0 |
+| 400 | 2,843 | 2,860 | 5.0 |
 
-The mean stays within 6 KB/s up to 113 hosts. The host that passes on what other zones say goes beyond
-it from 33 hosts on, and 400 hosts in three zones need 19.1 KB/s (measured before silent hosts were
-asked): heartbeats to all of a zone of 133 do not fit, and the shape for 400 is not built. Reports on
-targets come on top; they grow with the targets that a host probes, not with the hosts of other zones.
+All are within 6 KB/s. From 28 hosts on (10 in a zone) digests of a fixed number a second are sent, which list the
+hosts of the zone: 30 B/s for each (20 B/s in zones of more than 100). Below, each host tells all others of its zone that it lives, and one host
+of each zone passes on the members of the others. Reports on targets come on top; they grow with the targets that
+a host probes, not with the hosts of other zones.
 
 With 22 calls a second on each host, heartbeats included (\`PRINT_BYTES=1 npx jest test/exchange\`):
 
-| hosts | neighbours | mean B/s | largest B/s of a host |
-| --- | --- | --- | --- |
-| 3 | 0 | 1,084 | 1,124 |
-| 17 | 5 | 8,464 | 16,593 |
-| 33 | 10 | 3,791 | 7,200 |
-| 113 | 37 | 4,835 | 12,469 |
+| hosts | neighbours | mean B/s | largest B/s of a host | mean before | largest before |
+| --- | --- | --- | --- | --- | --- |
+| 3 | 0 | 704 | 726 | | |
+| 17 | 5 | 5,275 | 6,166 | 8,481 | 16,628 |
+| 18 | 5 | 5,585 | 6,550 | 8,963 | 17,335 |
+| 20 | 6 | 6,166 | 7,241 | 9,951 | 21,962 |
+| 24 | 7 | 7,407 | 8,026 | 11,866 | 28,018 |
+| 27 | 8 | 8,262 | 9,617 | 13,224 | 33,881 |
+| 33 | 10 | 504 | 507 | | |
+| 113 | 37 | 1,308 | 1,323 | | |
 
-Counts of calls in flight make up the difference; they exceed 6 KB/s at 17 hosts. Zones of more than 9
+Before: heartbeats in JSON, and counts that one host of a zone passed on for all others. At 17 hosts 329 B/s are
+signs of life (1,348 before), 474 lists of members (828) and 4,473 counts of calls in flight (6,305), of which 3,260
+are the changed counts themselves, 5 bytes each. A host sends each change to all hosts of all small zones: 280 B/s
+for each other host. From 20 to 27 hosts this exceeds 6 KB/s (KNOWN-RED.txt). Zones of more than 9
 hosts tell none, so that 33 and 113 hosts send what they send at rest; what that costs in answers at these
 sizes is not measured. One day of dvwda-gully-grown (113 hosts), before these changes, took 0.08 cores a
 host and more processor time than the bench allows a day; it has not been run since.
 Processor time on the users' bench rose from 0.087 to 0.098 cores a host at saryarka-gate
-(trouble-2 and scale-2, 13 hosts) and from 0.12 to 0.155 at dvwda-gully (scale-1, 17 hosts).
+(trouble-2 and scale-2, 13 hosts) and from 0.12 to 0.155 at dvwda-gully (scale-1, 17 hosts), when counts were added.
 
 Notices of targets that leave (\`PRINT_BYTES=1 npx jest test/exchange/noticeBytes\`), B/s that a host sends: one target
 after the other leaves at this pace, three hosts learn of each at the same moment and tell all others, and each
@@ -40,18 +50,18 @@
 
 | hosts | targets/s | notices, mean | notices, largest | all messages, mean | all, largest |
 | --- | --- | --- | --- | --- | --- |
-| 17, 113, 312 | 0 | 0 | 0 | 2,220, 1,352, 2,251 | 3,638, 1,366, 2,278 |
-| 17 | 0.5 | 485 | 538 | 3,059 | 3,947 |
-| 17 | 1 | 641 | 714 | 3,460 | 4,405 |
-| 17 | 2 | 788 | 955 | 3,985 | 6,645 |
-| 17 | 4 | 1,035 | 1,481 | 3,254 | 4,921 |
-| 113 | 0.5 | 513 | 743 | 2,258 | 7,106 |
-| 113 | 1 | 692 | 1,125 | 2,683 | 10,831 |
-| 113 | 2 | 846 | 1,649 | 3,259 | 17,828 |
-| 113 | 4 | 1,181 | 3,654 | 2,497 | 4,981 |
-| 312 | 2 | 856 | 2,213 | 4,949 | 28,091 |
+| 17, 113, 312 | 0 | 0 | 0 | 801, 1,266, 2,100 | 1,598, 1,279, 2,124 |
+| 17 | 0.5 | 500 | 533 | 1,656 | 2,374 |
+| 17 | 1 | 671 | 834 | 2,072 | 3,276 |
+| 17 | 2 | 763 | 931 | 2,544 | 4,165 |
+| 17 | 4 | 1,005 | 1,294 | 1,808 | 2,566 |
+| 113 | 0.5 | 523 | 820 | 2,173 | 7,503 |
+| 113 | 1 | 707 | 1,288 | 2,601 | 11,663 |
+| 113 | 2 | 867 | 1,618 | 3,185 | 18,849 |
+| 113 | 4 | 1,213 | 2,706 | 2,459 | 3,963 |
+| 312 | 2 | 872 | 4,618 | 4,752 | 28,186 |
 
-The slope is 160 to 190 B/s for each target a second, whatever the number of hosts, since each host is told once by each
+The slope is 140 to 200 B/s for each target a second, whatever the number of hosts, since each host is told once by each
 host that learned at the same moment; about 400 B/s of repetition come on top while any target is leaving. At rest
 notices take no bytes and no pass over the targets. The rest of the growth are changes of the catalog, of which the
 reader of a zone sends one to each neighbour: the largest host exceeds 6 KB/s at 113 hosts with a change every
--- a/src/balancer/fleetKnowledge.ts
+++ b/src/balancer/fleetKnowledge.ts
@@ -130,7 +130,7 @@
     const { clock, random, events, settings } = this.parts;
     const { ledger, link, sourceState, isStopping } = this.sources;
     const ip = ipOf(settings['control-address']);
-    const ownHostKey = identityKey(settings['host-id']);
+    const ownHostKey = identityKey(ip);
     const self: HostAddress = { id: settings['host-id'], zone: settings.zone, ip };
     return new Exchange({
       ...{ clock, random, link, events, self, ledger, zones: settings.zones, sourceState },
--- a/src/exchange/datagramCodec.ts
+++ b/src/exchange/datagramCodec.ts
@@ -1,6 +1,6 @@
 import { type Message } from './message';
 import { decodePacked, encodePacked, PACKED_CODECS, type PackedMessage } from './packedCodec';
-import { changesFieldsSchema, noticesFieldsSchema, heartbeatSchema } from './textSchemas';
+import { changesFieldsSchema, noticesFieldsSchema } from './textSchemas';
 
 /** Protocol version; datagrams of any other version are dropped. */
 export const EXCHANGE_VERSION = 4;
@@ -22,60 +22,8 @@
 
 type Codecs = { readonly [Name in TextKind]: Codec<Extract<Message, { kind: Name }>> };
 
-// Fields are sent by position, without names, to keep heartbeats small. Their order is the wire
-// format.
+// Fields are sent by position, without names. Their order is the wire format.
 const CODECS: Codecs = {
-  heartbeat: {
-    encode: (heartbeat) => [
-      ...heartbeat.host,
-      ...[
-        heartbeat.incarnation,
-        heartbeat.asOf,
-        heartbeat.source,
-        heartbeat.isLeaving ? 1 : 0,
-        heartbeat.zoneSize,
-      ],
-      ...(heartbeat.members === undefined &&
-      !heartbeat.shouldReplyWithMembers &&
-      heartbeat.newest === heartbeat.asOf
-        ? []
-        : [
-            heartbeat.members ?? null,
-            heartbeat.shouldReplyWithMembers ? 1 : 0,
-            heartbeat.otherZone ?? null,
-            heartbeat.newest,
-            heartbeat.fingerprint,
-          ]),
-    ],
-    decode: (fields) => {
-      const [
-        id,
-        zone,
-        ip,
-        incarnation,
-        asOf,
-        source,
-        isLeaving,
-        zoneSize,
-        members,
-        shouldReply,
-        otherZone,
-        newest,
-        fingerprint,
-      ] = heartbeatSchema.parse(fields);
-      return {
-        kind: 'heartbeat',
-        host: [id, zone, ip],
-        ...{ incarnation, asOf, source, zoneSize },
-        newest: newest ?? asOf,
-        fingerprint: fingerprint ?? 0,
-        isLeaving: isLeaving === 1,
-        members: members ?? undefined,
-        shouldReplyWithMembers: shouldReply === 1,
-        otherZone: otherZone ?? undefined,
-      };
-    },
-  },
   changes: {
     encode: (message) => [message.shouldRebroadcast ? 1 : 0, message.text],
     decode: (fields) => {
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -6,10 +6,12 @@
 import { MAX_DATAGRAM_BYTES, decodeMessage, encodeMessage } from './datagramCodec';
 import { type DatagramLink } from './datagramLink';
 import { EXCHANGE_EVENTS } from './events';
+import { FlightSender, receivedCounts } from './flightSender';
+import { groupByHost } from './groupByHost';
 import { type HostAddress } from './hostAddress';
 import { Membership } from './membership';
 import { type HostView, MembershipGossip } from './membershipGossip';
-import { type InFlightCountsMessage, type Message, type ReportsMessage } from './message';
+import { type Message, type ReportsMessage } from './message';
 import { NoticeGossip } from './noticeGossip';
 import { type Notices } from './notices';
 import { OtherZones } from './otherZones';
@@ -48,21 +50,6 @@
   ) => void;
 };
 
-function groupByHost<Item>(
-  items: readonly Item[],
-  hostsOf: (item: Item) => readonly string[],
-): ReadonlyMap<string, readonly Item[]> {
-  const byHost = new Map<string, Item[]>();
-  for (const item of items) {
-    for (const host of hostsOf(item)) {
-      const known = byHost.get(host);
-      if (known === undefined) byHost.set(host, [item]);
-      else known.push(item);
-    }
-  }
-  return byHost;
-}
-
 /**
  * Gossips membership, catalog changes, target reports and in-flight counts between hosts by
  * datagram.
@@ -74,6 +61,8 @@
 
   private readonly otherZones: OtherZones;
 
+  private readonly flights: FlightSender;
+
   private readonly puller: CatalogPuller;
 
   private readonly noticeGossip: NoticeGossip;
@@ -93,8 +82,11 @@
       this.parts.onReports(message.reports);
       if (message.shouldRebroadcast) this.rebroadcast({ ...message, shouldRebroadcast: false });
     },
-    flights: ({ counts, shouldRebroadcast }) =>
-      this.parts.onInFlightCounts(counts, shouldRebroadcast === true),
+    flights: (message, fromIp) =>
+      this.parts.onInFlightCounts(
+        receivedCounts(message, fromIp),
+        message.shouldRebroadcast === true,
+      ),
     changes: (message) => {
       const changes = decodeChanges(message.text, this.parts.clock.now());
       if (changes === null) return;
@@ -113,6 +105,10 @@
     const { clock, random, events, ledger, self, pull, zones } = parts;
     const { membership } = this;
     this.otherZones = new OtherZones({ clock, random, self, zones, membership });
+    this.flights = new FlightSender({
+      ...{ self, membership, otherZones: this.otherZones, sharersOfKey: parts.sharersOfKey },
+      sendTo: (hosts, message) => this.sendTo(hosts, message),
+    });
     const send = (ips: readonly string[], message: Message) => this.send(ips, message);
     this.gossip = new MembershipGossip({ ...parts, otherZones: this.otherZones, send }, membership);
     this.noticeGossip = new NoticeGossip({
@@ -185,32 +181,9 @@
     }
   }
 
-  private sendCountsToSharers({ host: sender, sequence, calls }: InFlightCounts): void {
-    const byHost = groupByHost([...calls], ([key]) => this.parts.sharersOfKey(key) ?? []);
-    for (const host of this.membership.neighbours()) {
-      const used = byHost.get(host.id);
-      if (used === undefined) continue;
-      const counts = [{ host: sender, sequence, calls: new Map(used) }];
-      this.sendTo([host], { kind: 'flights', counts });
-    }
-  }
-
-  /**
-   * Sends in-flight counts to the zone; with `isCrossZone`, to one host of each other zone instead.
-   */
+  /** Sends in-flight counts to the zone; with `isCrossZone`, to the other zones instead. */
   broadcastInFlightCounts(counts: readonly InFlightCounts[], isCrossZone: boolean): void {
-    if (counts.length === 0) return;
-    const isShared = [...counts[0]!.calls.keys()].some(
-      (key) => this.parts.sharersOfKey(key) !== null,
-    );
-    if (isShared) {
-      for (const own of counts) this.sendCountsToSharers(own);
-      return;
-    }
-    const message: InFlightCountsMessage = { kind: 'flights', counts };
-    if (isCrossZone)
-      this.sendTo(this.otherZones.choose('flights'), { ...message, shouldRebroadcast: true });
-    else this.sendTo(this.membership.neighbours(), message);
+    this.flights.broadcast(counts, isCrossZone);
   }
 
   /** Sends new notices to all hosts. */
--- a/src/exchange/membership.ts
+++ b/src/exchange/membership.ts
@@ -152,6 +152,12 @@
     return this.live().filter((host) => host.zone === zone);
   }
 
+  /** Whether as many hosts of another zone are known as it counts itself. */
+  knowsAllOf(zone: string): boolean {
+    const size = this.sizeOf(zone);
+    return size > 0 && this.inZone(zone).length >= size;
+  }
+
   /**
    * Hosts that stopped sending heartbeats: hosts of this zone that sent one before, and hosts of
    * zones without a live host. They may be partitioned from this host or have restarted.
--- a/src/exchange/membershipGossip.ts
+++ b/src/exchange/membershipGossip.ts
@@ -8,7 +8,7 @@
 import { type HostAddress } from './hostAddress';
 import { type KnownHost } from './knownHost';
 import { heartbeatInterval, type Membership } from './membership';
-import { type Digest, type Heartbeat, type Message } from './message';
+import { type Digest, type Heartbeat, type HostFields, type Message } from './message';
 import { type OtherZones } from './otherZones';
 
 // The delegate of a zone sends a short member list to one host of each other zone, which
@@ -60,7 +60,7 @@
   readonly send: (ips: readonly string[], message: Message) => void;
 }
 
-function addressOf(host: HostAddress): readonly [string, string, string] {
+function addressOf(host: HostAddress): HostFields {
   return [host.id, host.zone, host.ip];
 }
 
@@ -109,12 +109,12 @@
   /** Tells neighbours that this host is alive; the time in milliseconds until the next one. */
   private sendLiveness(neighbours: readonly KnownHost[]): number {
     if (!this.isInLargeZone()) {
-      this.sendTo(neighbours, this.heartbeat());
+      this.sendTo(neighbours, this.digest(0));
       return heartbeatInterval(neighbours.length + 1);
     }
     const fanout =
       neighbours.length > VERY_LARGE_ZONE_NEIGHBOURS ? VERY_LARGE_ZONE_FANOUT : DIGEST_FANOUT;
-    this.sendTo(sample(this.parts.random, neighbours, fanout), this.digest());
+    this.sendTo(sample(this.parts.random, neighbours, fanout), this.digest(MAX_DIGEST_MEMBERS));
     return DIGEST_INTERVAL_MS;
   }
 
@@ -126,15 +126,11 @@
     return isLargeZone(this.membership.neighbours().length);
   }
 
-  private digest(): Digest {
+  private digest(maxMembers: number): Digest {
     const { host, ...state } = this.heartbeat();
-    const ages = sample(this.parts.random, [...this.membership.ages()], MAX_DIGEST_MEMBERS);
-    return {
-      ...state,
-      kind: 'digest',
-      sender: identityKey(host[0]),
-      ages: new Map(ages),
-    };
+    const ages =
+      maxMembers === 0 ? [] : sample(this.parts.random, [...this.membership.ages()], maxMembers);
+    return { ...state, kind: 'digest', sender: identityKey(host[0]), ages: new Map(ages) };
   }
 
   /** Applies a digest, and asks for what is missing to use it fully. */
@@ -163,6 +159,7 @@
     const [id, zone, ip] = heartbeat.host;
     if (isNew) this.parts.events.emit(EXCHANGE_EVENTS.hostDiscovered, { peer: id, zone });
     if (heartbeat.members !== undefined) this.applyMembers(heartbeat);
+    if (isNew && zone === self.zone) this.tellOtherZones(heartbeat.host);
     if (heartbeat.shouldReplyWithMembers) this.replyWithMembers(ip, zone);
     else if (isNew && zone === self.zone) this.introduce(ip);
     if (zone === self.zone && this.isFarAhead(heartbeat.zoneSize)) this.requestMembers(ip);
@@ -258,11 +255,18 @@
 
   /** Sends some members of this zone to one host of each other zone. */
   private sendMembersToOtherZones(): void {
-    const { self } = this.parts;
-    const neighbours = this.membership.neighbours();
-    const members = sample(this.parts.random, [self, ...neighbours], MAX_CROSS_ZONE_MEMBERS).map(
-      addressOf,
-    );
+    const { self, random } = this.parts;
+    const hosts = [self, ...this.membership.neighbours()];
+    this.sendToOtherZones(sample(random, hosts, MAX_CROSS_ZONE_MEMBERS).map(addressOf));
+  }
+
+  // In-flight counts go to the hosts of small zones that are known.
+  private tellOtherZones(newHost: HostFields): void {
+    if (!this.isInLargeZone() && this.isDelegate(this.membership.neighbours()))
+      this.sendToOtherZones([newHost]);
+  }
+
+  private sendToOtherZones(members: readonly HostFields[]): void {
     this.sendTo(this.parts.otherZones.choose('members'), this.heartbeat({ members }));
   }
 
--- a/src/exchange/message.ts
+++ b/src/exchange/message.ts
@@ -3,10 +3,11 @@
 
 import { type Notices } from './notices';
 
-/** State of the sending host; with `members`, also the hosts that it knows. */
-export interface Heartbeat {
-  readonly kind: 'heartbeat';
-  readonly host: readonly [id: string, zone: string, ip: string];
+/** Id, zone and IP address of a host. */
+export type HostFields = readonly [id: string, zone: string, ip: string];
+
+/** What a host tells of itself. */
+export interface HostState {
   /** Chosen when the process starts, so that a restart under the same id is detected. */
   readonly incarnation: number;
   /** Revision up to which the sender's catalog is complete. */
@@ -17,10 +18,16 @@
   readonly fingerprint: number;
   readonly source: SourceState;
   readonly isLeaving: boolean;
-  /** Some of the hosts that the sender knows, for a joining host and for other zones. */
-  readonly members?: readonly (readonly [id: string, zone: string, ip: string])[];
   /** Number of live hosts in the sender's zone, including the sender. */
   readonly zoneSize: number;
+}
+
+/** State of the sending host with its address; with `members`, also the hosts that it knows. */
+export interface Heartbeat extends HostState {
+  readonly kind: 'heartbeat';
+  readonly host: HostFields;
+  /** Some of the hosts that the sender knows, for a joining host and for other zones. */
+  readonly members?: readonly HostFields[];
   /** The zone that the rebroadcast `members` belong to, and its number of live hosts. */
   readonly otherZone?: readonly [zone: string, size: number];
   /** Whether the receiver replies with a heartbeat that lists the members. */
@@ -28,21 +35,17 @@
 }
 
 /**
- * State of a host of a large zone, and how fresh the state of its neighbours is. Hosts send digests
- * to a few neighbours in place of heartbeats to all of them.
+ * State of a host for receivers that know its address; those that don't ask for it. In a large zone,
+ * where hosts send digests to a few neighbours only, also how fresh the state of the others is.
  */
-export interface Digest {
+export interface Digest extends HostState {
   readonly kind: 'digest';
   /** Key of the id of the sender. */
   readonly sender: number;
-  readonly incarnation: number;
-  readonly asOf: number;
-  readonly newest: number;
-  readonly fingerprint: number;
-  readonly source: SourceState;
-  readonly isLeaving: boolean;
-  readonly zoneSize: number;
-  /** Time in milliseconds since the last sign of life of each neighbour, by the key of its id. */
+  /**
+   * Time in milliseconds since the last sign of life of each neighbour, by the key of its id; empty in
+   * a small zone.
+   */
   readonly ages: ReadonlyMap<number, number>;
 }
 
@@ -54,9 +57,13 @@
   readonly shouldRebroadcast?: boolean;
 }
 
-/** In-flight counts of hosts. */
+/** In-flight counts of the sender of a message. */
+export type SenderCounts = Omit<InFlightCounts, 'host'>;
+
+/** In-flight counts of the sender and of hosts whose counts it passes on. */
 export interface InFlightCountsMessage {
   readonly kind: 'flights';
+  readonly own?: SenderCounts;
   readonly counts: readonly InFlightCounts[];
   readonly shouldRebroadcast?: boolean;
 }
--- a/src/exchange/otherZones.ts
+++ b/src/exchange/otherZones.ts
@@ -34,6 +34,24 @@
       .flatMap((zone) => sample(random, membership.inZone(zone), count));
   }
 
+  /**
+   * The live hosts of small zones that are all known, and one of each other one, which passes a
+   * message on. Each host gets the message once in either way, but directly in one step.
+   */
+  reach(purpose: Purpose): {
+    readonly direct: readonly HostAddress[];
+    readonly relays: readonly HostAddress[];
+  } {
+    const { membership } = this.parts;
+    const chosen = this.choose(purpose);
+    const isDirect = ({ zone }: HostAddress) =>
+      membership.knowsAllOf(zone) && !isLargeZone(membership.inZone(zone).length - 1);
+    return {
+      direct: chosen.filter(isDirect).flatMap(({ zone }) => membership.inZone(zone)),
+      relays: chosen.filter((host) => !isDirect(host)),
+    };
+  }
+
   /** One live host of each other zone, for a message of this purpose. */
   choose(purpose: Purpose): readonly HostAddress[] {
     const { self, random, clock, membership } = this.parts;
--- a/src/knowledge/inFlightBroadcaster.ts
+++ b/src/knowledge/inFlightBroadcaster.ts
@@ -1,6 +1,6 @@
 import { type Clock, EarliestTimer } from '../runtime';
 
-import { type InFlightCounts } from './inFlightCounts';
+import { type InFlightCounts, SEQUENCE_VALUES } from './inFlightCounts';
 import { identityKey } from './identityKey';
 import { isLargeZone } from './largeZone';
 
@@ -126,7 +126,7 @@
   }
 
   private takePending(targets: Set<number>): InFlightCounts {
-    this.sequence += 1;
+    this.sequence = (this.sequence + 1) % SEQUENCE_VALUES;
     const calls = new Map(
       [...targets].map((target) => [target, this.ownCounts.get(target)?.calls ?? 0]),
     );
--- a/src/knowledge/inFlightTable.ts
+++ b/src/knowledge/inFlightTable.ts
@@ -1,18 +1,28 @@
 import { type Clock } from '../runtime';
 
-import { type InFlightCounts } from './inFlightCounts';
+import { type InFlightCounts, SEQUENCE_VALUES } from './inFlightCounts';
 
 // Hosts refresh their counts every 500 ms, so that a count of this age comes from a host that
 // crashed or is partitioned. Its calls have ended, or they appear in load reports as unattributed
 // calls.
 const COUNT_LIFETIME_MS = 1200;
 
+// Datagrams are overtaken by later ones for milliseconds only; a count that is older than this is
+// replaced by any other, so that sequence numbers may start again.
+const MAX_REORDERING_MS = 200;
+
 interface ReceivedCount {
   readonly calls: number;
   readonly sequence: number;
   readonly receivedAt: number;
 }
 
+function isOvertaken(sequence: number, previous: ReceivedCount, receivedAt: number): boolean {
+  const behind = (previous.sequence - sequence + SEQUENCE_VALUES) % SEQUENCE_VALUES;
+  const isEarlier = behind > 0 && behind < SEQUENCE_VALUES / 2;
+  return isEarlier && receivedAt - previous.receivedAt < MAX_REORDERING_MS;
+}
+
 /** Calls that the other hosts have in flight at each target. */
 export class InFlightTable {
   private readonly counts = new Map<number, Map<number, ReceivedCount>>();
@@ -27,7 +37,7 @@
     for (const [target, count] of calls) {
       const byHost = this.countsAt(target);
       const previous = byHost.get(host);
-      if (previous !== undefined && previous.sequence > sequence) continue;
+      if (previous !== undefined && isOvertaken(sequence, previous, receivedAt)) continue;
       byHost.set(host, { calls: count, sequence, receivedAt });
       this.addTotal(target, count - (previous?.calls ?? 0));
     }
--- a/test/balancer/malformedBytes.test.ts
+++ b/test/balancer/malformedBytes.test.ts
@@ -3,7 +3,7 @@
 
 import fc from 'fast-check';
 
-import { encodeMessage } from '../../src/exchange/datagramCodec';
+import { encodeMessage, EXCHANGE_VERSION } from '../../src/exchange/datagramCodec';
 import { type Message } from '../../src/exchange/message';
 import { TestPlatform } from '../support/testPlatform';
 
@@ -97,13 +97,24 @@
         socket.send(bytes, platform.exchangePort, '127.0.0.1', () => resolve());
       });
     const wrongTypes = NOT_A_HEARTBEAT.map((value) => Buffer.from(JSON.stringify(value)));
-    const nestedWrong = ['members', 'otherZone', 'host'].map((field) =>
-      encodeMessage({ ...HEARTBEAT, [field]: [null, [1]] }),
+    // Heartbeats have a binary encoding, so that text is no form of them; notices have none.
+    const nestedWrong = [
+      ['heartbeat', [null, [1]]],
+      ['heartbeat', ['host-2', 'a', '127.0.0.1', 1, 1, 'idle', 0, 2, [null, [1]], 0, [null, [1]]]],
+      ['notices', [0, 0, [null, [1]], []]],
+      ['notices', [0, 0, [], [null, [1]]]],
+      ['notices', [null, [1]]],
+    ].map((fields) => Buffer.from(JSON.stringify([EXCHANGE_VERSION, ...fields])));
+    // Numbers of members, and lengths of their names, that the datagram does not have.
+    const noMembers = encodeMessage({ ...HEARTBEAT, members: [] });
+    const tooLong = [0x01, 0x7f, 0xff].map((length) =>
+      Buffer.concat([noMembers.subarray(0, -1), Buffer.of(length, length, length, length, 0x0f)]),
     );
     const wrongChanges = ['{', 'null', '{"after":null,"asOf":3}', '{"records":[null]}'].map(
       (text) => encodeMessage({ kind: 'changes', text }),
     );
-    for (const bytes of [...wrongTypes, ...nestedWrong, ...wrongChanges]) await send(bytes);
+    for (const bytes of [...wrongTypes, ...nestedWrong, ...tooLong, ...wrongChanges])
+      await send(bytes);
     const valid = MESSAGES.map((message) => encodeMessage(message));
     await fc.assert(fc.asyncProperty(damaged(valid), send), { seed: SEED, numRuns: RUNS });
     await platform.sleep(200);
--- a/test/exchange/datagramCodec.test.ts
+++ b/test/exchange/datagramCodec.test.ts
@@ -57,6 +57,25 @@
       { id: 'i-2', startedAt: null },
     ],
   },
+  {
+    kind: 'flights',
+    shouldRebroadcast: true,
+    own: { sequence: 2047, calls: new Map(Array.from({ length: 9 }, (_, key) => [key, 1])) },
+    counts: [],
+  },
+  {
+    kind: 'flights',
+    shouldRebroadcast: false,
+    own: { sequence: 0, calls: new Map([[7, 1]]) },
+    counts: [{ host: 5, sequence: 3, calls: new Map([[7, 2]]) }],
+  },
+  {
+    kind: 'heartbeat',
+    host: ['host-1', 'a', '10.0.0.1'],
+    ...{ incarnation: 0, asOf: 2 ** 40, newest: 2 ** 40, fingerprint: 0 },
+    ...{ source: 'idle', isLeaving: true, zoneSize: 5, otherZone: ['b', 6] },
+    shouldReplyWithMembers: true,
+  },
 ];
 
 describe('the datagram codec', () => {
--- a/test/knowledge/inFlight.test.ts
+++ b/test/knowledge/inFlight.test.ts
@@ -49,6 +49,28 @@
     expect(table.callsAt(identityKey('t1'))).toBe(0);
   });
 
+  // Guards against counts that are ignored when the sequence numbers begin again.
+  it('are applied in order when the sequence numbers of a host begin again', () => {
+    const table = new InFlightTable(new ManualClock());
+    for (const [sequence, calls] of [
+      [2046, 1],
+      [0, 3],
+      [2047, 2],
+    ] as const)
+      table.apply(counts('host-1', sequence, { t1: calls }));
+    expect(table.callsAt(identityKey('t1'))).toBe(3);
+  });
+
+  // Guards against counts of a restarted host that are ignored, as its sequence numbers are low.
+  it('of a restarted host are applied once no older datagram can be on its way', () => {
+    const clock = new ManualClock();
+    const table = new InFlightTable(clock);
+    table.apply(counts('host-1', 900, { t1: 3 }));
+    clock.advanceTo(400);
+    table.apply(counts('host-1', 1, { t1: 1 }));
+    expect(table.callsAt(identityKey('t1'))).toBe(1);
+  });
+
   // Guards against targets that look full forever after a host crashed with calls in flight, and
   // against ignoring the low sequence numbers of a restarted host forever.
   it('expire when their host no longer refreshes them', () => {
