--- a/src/balancer/fleetKnowledge.ts
+++ b/src/balancer/fleetKnowledge.ts
@@ -133,7 +133,7 @@
     const { clock, random, events, settings } = this.parts;
     const { ledger, link, tasks, sourceState, isStopping } = this.sources;
     const ip = ipOf(settings['control-address']);
-    const ownHostKey = identityKey(settings['host-id']);
+    const ownHostKey = identityKey(ip);
     const self: HostAddress = { id: settings['host-id'], zone: settings.zone, ip };
     return new Exchange({
       ...{ clock, random, link, tasks, events, self, ledger, sourceState },
