Keep notices of leaving targets that come before the catalog

A host that restarts asks the others for what they know and gets their notices before its catalog. A notice of a target that it did not know was dropped, so that the host called the leaving target until the notice was repeated by chance.

--- a/src/knowledge/targetStatisticsTable.ts
+++ b/src/knowledge/targetStatisticsTable.ts
@@ -1,6 +1,7 @@
 import { type Catalog, type Target } from '../catalog';
 import { type Clock } from '../runtime';
 
+import { EarlyLeavings } from './earlyLeavings';
 import { type InFlightListener } from './inFlightListener';
 import { type InFlightTable } from './inFlightTable';
 import { type LeavingTarget } from './leavingTarget';
@@ -40,6 +41,8 @@
 export class TargetStatisticsTable {
   private readonly statistics = new Map<string, TargetStatistics>();
 
+  private readonly earlyLeavings = new EarlyLeavings();
+
   constructor(
     private readonly clock: Clock,
     private readonly inFlightTable: InFlightTable,
@@ -57,9 +60,11 @@
   applyCatalog(catalog: Catalog): void {
     for (const target of catalog.targets.values()) {
       const previous = this.statistics.get(target.id);
-      if (previous === undefined || previous.startedAt !== target.startedAt)
+      if (previous === undefined || previous.startedAt !== target.startedAt) {
         this.begin(target, previous);
-      else {
+        const early = this.earlyLeavings.take(target.id);
+        if (early !== null) this.recordLeaving(early);
+      } else {
         previous.slots = target.slots;
         previous.coldUntil = Math.max(previous.coldUntil, target.coldUntil);
       }
@@ -103,8 +108,11 @@
    */
   recordLeaving({ id, startedAt }: LeavingTarget): boolean {
     const target = this.statistics.get(id);
-    // A late message may be about the start before.
-    if (target === undefined || target.startedAt !== startedAt) return false;
+    // The message may be about the start before, or about one that is not in the catalog yet.
+    if (target === undefined || target.startedAt !== startedAt) {
+      this.earlyLeavings.keep({ id, startedAt });
+      return false;
+    }
     const isNews = target.quietUntil !== Infinity;
     target.quietUntil = Infinity;
     return isNews;
--- a/test/load/targetWishes.test.ts
+++ b/test/load/targetWishes.test.ts
@@ -27,4 +27,18 @@
     },
     120_000,
   );
+
+  // Guards against restarted hosts that drop what they are told of leaving targets, since they have
+  // no catalog yet, and call these targets until they are told again.
+  it.each(SEEDS)(
+    'get none from restarted hosts that were told: 17 hosts, seed %d',
+    async (seed) => {
+      const report = await playWishes({
+        ...{ size: 17, seed, load: 0.6, lossRatio: 0, hasRestarts: true, isStoreAway: true },
+        ...{ hasNotices: true, returnSeconds: [2] },
+      });
+      expect(report.leaving.ofRestarted).toBe(0);
+    },
+    120_000,
+  );
 });
