--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -10,7 +10,9 @@
   InFlightTable,
   isLargeZone,
   type TargetReport,
+  TargetStatisticsTable,
 } from '../../src/knowledge';
+import { Supervisor } from '../../src/lifecycle';
 import { type ManualClock, type Random, SeededRandom, waitUntil } from '../../src/runtime';
 import { CatalogReader, mustRead } from '../../src/source';
 import { CrashTable } from '../../src/suspects';
@@ -32,6 +34,7 @@
   readonly reader: CatalogReader | null;
   readonly inFlightTable: InFlightTable;
   readonly crashTable: CrashTable;
+  readonly targetStates: TargetStatisticsTable;
   readonly inFlightBroadcaster: InFlightBroadcaster;
   sentBytes: number;
   sentDatagrams: number;
@@ -67,6 +70,11 @@
   /** Whether datagrams from one host to another are dropped. */
   isCut: (from: HostAddress, to: HostAddress) => boolean = () => false;
 
+  /** Called with each datagram that a host sends. */
+  onSend: (bytes: Buffer, from: string) => void = () => {};
+
+  private readonly hostsByIp = new Map<string, SimulatedHost>();
+
   private readonly listeners = new Map<string, (bytes: Buffer, fromIp: string) => void>();
 
   private nextIncarnation = 0;
@@ -99,6 +107,8 @@
     };
     const inFlightTable = new InFlightTable(this.clock);
     const crashTable = new CrashTable(this.clock);
+    const targetStates = new TargetStatisticsTable(this.clock, inFlightTable, () => {});
+    ledger.onChange((catalog) => targetStates.applyCatalog(catalog));
     const inFlightBroadcaster = new InFlightBroadcaster(this.clock, id, {
       broadcastInFlightCounts: (counts, isCrossZone) =>
         this.hosts.get(id)!.exchange.broadcastInFlightCounts(counts, isCrossZone),
@@ -110,6 +120,7 @@
       ...{ clock: this.clock, link, ledger, self: address, zones: this.zones },
       random: new SeededRandom(this.nextIncarnation),
       events: { emit: () => {} },
+      tasks: new Supervisor(this.clock, () => {}),
       incarnation: this.nextIncarnation,
       seeds: this.seeds,
       sourceState: () => this.hosts.get(id)?.reader?.state() ?? 'idle',
@@ -122,16 +133,21 @@
         for (const count of counts) inFlightTable.apply(count);
         if (shouldRebroadcast) inFlightBroadcaster.rebroadcast(counts);
       },
-      notices: () => ({ crashes: crashTable.histories(), leaving: [] }),
-      onNotices: ({ crashes }) => {
-        for (const history of crashes) crashTable.apply(history);
-      },
+      notices: () => ({
+        crashes: crashTable.histories(),
+        leaving: targetStates.leavingTargets(),
+      }),
+      onNotices: ({ crashes, leaving }) => ({
+        crashes: crashes.filter((history) => crashTable.apply(history)),
+        leaving: leaving.filter((target) => targetStates.recordLeaving(target)),
+      }),
     });
     const host: SimulatedHost = {
       address,
       inFlightTable,
       inFlightBroadcaster,
       crashTable,
+      targetStates,
       ledger,
       exchange,
       reports,
@@ -142,6 +158,7 @@
       pullsServed: 0,
     };
     this.hosts.set(id, host);
+    this.hostsByIp.set(ip, host);
     exchange.start();
     void host.reader?.run();
     return host;
@@ -201,17 +218,14 @@
     });
   }
 
-  private byIp(ip: string): SimulatedHost | undefined {
-    return [...this.hosts.values()].find((host) => host.address.ip === ip);
-  }
-
   private send(from: HostAddress, toIp: string, bytes: Buffer): void {
     const sender = this.hosts.get(from.id);
     if (sender !== undefined) {
       sender.sentBytes += bytes.length;
       sender.sentDatagrams += 1;
     }
-    const to = this.byIp(toIp);
+    this.onSend(bytes, from.id);
+    const to = this.hostsByIp.get(toIp);
     if (to === undefined || to.isDown || this.isCut(from, to.address)) return;
     if (this.random.next() < this.lossRatio) return;
     const delay = to.address.zone === from.zone ? SAME_ZONE_LATENCY_MS : CROSS_ZONE_LATENCY_MS;
