--- a/src/delivery/attempt.ts
+++ b/src/delivery/attempt.ts
@@ -30,8 +30,6 @@
   /** Monotonic time at which the request was sent; null until then. */
   sentAt: number | null = null;
 
-  private readonly connection: TargetConnection;
-
   private head: AnswerHead | null = null;
 
   private isFramed = true;
@@ -51,14 +49,14 @@
     readonly call: IncomingCall,
     readonly target: Target,
     private readonly protocol: CallProtocol,
+    /** The pool to which `connection` is returned. */
     private readonly connections: TargetConnections,
+    private readonly connection: TargetConnection,
     private readonly clock: Clock,
     private readonly observer: AttemptObserver,
     /** Counts the bytes of the answer until the attempt has ended. */
     private readonly memory: MemoryShare,
-  ) {
-    this.connection = connections.acquire(call.id);
-  }
+  ) {}
 
   /** Sends the request. */
   start(): void {
@@ -70,6 +68,10 @@
     if (this.hasOpenRest || !this.hasEnded) this.connection.close();
   }
 
+  withdrawal(): string | null {
+    return this.observer.withdrawal(this);
+  }
+
   onSent(): void {
     this.sentAt = this.clock.now();
   }
@@ -136,13 +138,14 @@
   }
 
   onError(error: ConnectionError): void {
-    this.connections.release(this.connection, false);
+    this.connections.release(this.connection, error.kind === 'withdrawn');
     if (this.hasEnded) {
       this.hasOpenRest = false;
       this.resolveRest?.(false);
       return;
     }
-    const end = this.sentAt === null ? 'notSent' : 'unknown';
+    const unsentEnd = error.kind === 'withdrawn' ? 'withdrawn' : 'notSent';
+    const end = this.sentAt === null ? unsentEnd : 'unknown';
     this.finish({ end, answer: null, error: error.kind, message: error.message });
   }
 
--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -4,9 +4,7 @@
 import { type Timer } from '../runtime';
 import {
   type AttemptOutcome,
-  decideRetry,
   hedgeRecheckMs,
-  type RetryDecision,
   type Placement,
   type RefusalReason,
   retryAfter,
@@ -15,7 +13,8 @@
 } from '../placement';
 
 import { type RunningAttempt } from './runningAttempt';
-import { type AttemptResult, type ReceivedAnswer } from './attemptResult';
+import { AttemptHistory } from './attemptHistory';
+import { type AttemptResult } from './attemptResult';
 import { type CallEnd } from './callEnd';
 import { type CallEvent } from './callEvent';
 import { type DeliveryContext } from './deliveryContext';
@@ -47,20 +46,14 @@
 
   private recheckTimer: Timer | null = null;
 
-  /** Attempts whose request was sent. */
-  private sentAttempts = 0;
-
-  private unsentAttempts = 0;
-
-  private mayHaveRun = false;
-
-  private failedAnswer: ReceivedAnswer | null = null;
-
-  private failureMessage = '';
+  private readonly history: AttemptHistory;
 
   /** Why the call waits; null while it does not. */
   private waitReason: RefusalReason | null = null;
 
+  /** Whether the call adds to the retry budget of its service. */
+  private isCounted = false;
+
   private isFinished = false;
 
   /** Entry of the call in the wait queue of its service. */
@@ -71,6 +64,7 @@
     private readonly call: IncomingCall,
   ) {
     this.placeableSince = context.clock.now();
+    this.history = new AttemptHistory(call);
   }
 
   /** Ends the task because the caller has closed the connection. */
@@ -99,7 +93,6 @@
     this.timers.push(
       clock.setTimer(this.call.deadline, () => this.mailbox.put({ kind: 'deadline' })),
     );
-    if (this.context.crashes.isRefused(this.call)) return this.finish(this.refuse('crashes'));
     let end = this.place();
     while (end === null) {
       const event = await this.mailbox.next();
@@ -118,6 +111,7 @@
   private place(): CallEnd | null {
     if (this.call.deadline > this.context.stopDeadline())
       return this.finishWithoutRetry('stopping');
+    if (this.context.crashes.isRefused(this.call)) return this.finishWithoutRetry('crashes');
     const placement = this.context.placer.place(this.call, this.triedTargets, true);
     this.logPlacement(placement);
     return match(placement)
@@ -167,8 +161,8 @@
       if (this.isFinished) result.answer?.rest?.cancel();
       else this.mailbox.put({ kind: 'ended', attempt: ended, result });
     });
-    this.context.placer.recordSent(targetId);
-    if (this.triedTargets.size === 0) this.context.recordFirstAttempt(this.call.service);
+    if (!this.isCounted) this.context.recordFirstAttempt(this.call.service);
+    this.isCounted = true;
     this.triedTargets.add(targetId);
     this.runningAttempts.add(attempt);
     attempt.start();
@@ -188,6 +182,7 @@
     const isRetryable = route.isIdempotent && (body === null || Buffer.isBuffer(body));
     return (
       isRetryable &&
+      this.context.mayHedge() &&
       this.triedTargets.size < route.mostAttempts &&
       !this.context.crashes.isSuspect(this.call)
     );
@@ -224,23 +219,32 @@
   private handleAttemptEnd(attempt: RunningAttempt, result: AttemptResult): CallEnd | null {
     this.runningAttempts.delete(attempt);
     if (result.end === 'answered') return { kind: 'answer', answer: result.answer! };
-    if (result.end !== 'notSent') this.sentAttempts += 1;
-    else this.unsentAttempts += 1;
-    if (result.end === 'failed' || result.end === 'unknown') this.mayHaveRun = true;
-    if (result.answer !== null && result.end === 'failed') this.failedAnswer = result.answer;
-    this.failureMessage = result.message;
+    if (result.end === 'withdrawn') this.takeBack(attempt);
+    else this.history.record(result);
     if (this.runningAttempts.size > 0) return null;
-    return this.retryOrFinish(attempt, result.end);
+    return this.retryOrFinish(attempt, result);
   }
 
-  private retryOrFinish(attempt: RunningAttempt, end: AttemptOutcome): CallEnd | null {
-    const step = this.decideNextStep(end);
+  // The call may be sent to the same target later, and has used no retry.
+  private takeBack({ target }: RunningAttempt): void {
+    this.triedTargets.delete(target.id);
+    const wasSent = [...this.runningAttempts].some(({ sentAt }) => sentAt !== null);
+    if (wasSent || this.history.sentAttempts() > 0) this.context.returnRetry(this.call.service);
+  }
+
+  private retryOrFinish(attempt: RunningAttempt, result: AttemptResult): CallEnd | null {
+    const { end, message } = result;
+    const step = this.history.nextStep(end, {
+      leftMs: this.call.deadline - this.context.clock.now(),
+      workMs: this.workMs(),
+      isSuspect: this.context.crashes.isSuspect(this.call),
+    });
     const reason = this.refusalReasonAfter(attempt, end);
     this.context.events.emit(DELIVERY_EVENTS.attemptFailed, {
       call: this.call.id,
       end,
-      reason: this.failureMessage,
-      attempts: this.sentAttempts,
+      reason: message,
+      attempts: this.history.sentAttempts(),
       step,
     });
     return match(step)
@@ -263,49 +267,16 @@
     return end === 'notRun' && hadFreeSlots ? 'refused' : 'overloaded';
   }
 
-  private decideNextStep(end: AttemptOutcome): RetryDecision {
-    const { route, body, deadline } = this.call;
-    const isBodyBuffered = body === null || Buffer.isBuffer(body);
-    if (!isBodyBuffered && end !== 'notSent') return 'finish';
-    if (this.context.crashes.isSuspect(this.call) && end === 'unknown') return 'finish';
-    return decideRetry(end, {
-      isIdempotent: route.isIdempotent,
-      attempts: this.sentAttempts,
-      mostAttempts: route.mostAttempts,
-      unsent: this.unsentAttempts,
-      leftMs: deadline - this.context.clock.now(),
-      workMs: this.workMs(),
-    });
-  }
-
   /** The final result of a call that is not sent again; null while another attempt still runs. */
   private finishWithoutRetry(reason: RefusalReason): CallEnd | null {
     if (this.runningAttempts.size > 0) return null;
-    if (!this.mayHaveRun) return this.refuse(reason);
-    if (this.failedAnswer !== null && this.mayForward(this.failedAnswer)) {
-      return { kind: 'answer', answer: this.failedAnswer };
-    }
-    return { kind: 'own', own: { kind: 'unknown', status: 502, detail: this.failureMessage } };
-  }
-
-  // Callers take 408, 421, 429 and 503 to mean that the call was not executed. A failure of a target
-  // does not prove that unless the target states it.
-  private mayForward({ head }: ReceivedAnswer): boolean {
-    return ![408, 421, 429, 503].includes(head.status);
+    return this.history.end() ?? this.refuse(reason);
   }
 
   private handleDeadline(): CallEnd {
-    if (
-      this.failedAnswer !== null &&
-      this.runningAttempts.size === 0 &&
-      this.mayForward(this.failedAnswer)
-    ) {
-      return { kind: 'answer', answer: this.failedAnswer };
-    }
-    const wasSent =
-      this.mayHaveRun || [...this.runningAttempts].some((attempt) => attempt.sentAt !== null);
-    if (!wasSent) return this.refuse('outOfTime');
-    return { kind: 'own', own: { kind: 'unknown', status: 504, detail: 'time limit reached' } };
+    const running = [...this.runningAttempts];
+    const hasSent = running.some(({ sentAt }) => sentAt !== null);
+    return this.history.endAtDeadline(running.length > 0, hasSent) ?? this.refuse('outOfTime');
   }
 
   private refuse(reason: RefusalReason): CallEnd {
@@ -314,8 +285,8 @@
       leftMs: Math.max(0, this.call.callerDeadline - clock.now()),
       workMs: this.workMs(),
       rank: placer.rankOf(this.call),
-      callIntervalMs: reason === 'limited' ? placer.callIntervalMs(this.call.service) : 0,
-      quietForMs: reason === 'limited' ? placer.quietForMs(this.call.service) : 0,
+      callIntervalMs: reason === 'limited' ? placer.admission.callIntervalMs(this.call.service) : 0,
+      quietForMs: reason === 'limited' ? placer.admission.quietForMs(this.call.service) : 0,
     };
     const retryAfterMs = retryAfter(reason, input, random);
     return { kind: 'own', own: { kind: 'notRun', reason, retryAfterMs } };
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -1,10 +1,16 @@
 import { type CatalogChanges, decodeChanges, encodeChanges, Ledger } from '../../src/catalog';
-import { type DatagramLink, Exchange, type HostAddress } from '../../src/exchange';
+import {
+  type DatagramLink,
+  Exchange,
+  type ExchangeParts,
+  type HostAddress,
+} from '../../src/exchange';
 import {
   InFlightBroadcaster,
   InFlightTable,
   isLargeZone,
   type TargetReport,
+  TargetStatisticsTable,
 } from '../../src/knowledge';
 import { Supervisor } from '../../src/lifecycle';
 import { type ManualClock, type Random, SeededRandom, waitUntil } from '../../src/runtime';
@@ -28,6 +34,7 @@
   readonly reader: CatalogReader | null;
   readonly inFlightTable: InFlightTable;
   readonly crashTable: CrashTable;
+  readonly targetStates: TargetStatisticsTable;
   readonly inFlightBroadcaster: InFlightBroadcaster;
   sentBytes: number;
   sentDatagrams: number;
@@ -36,6 +43,13 @@
   pullsServed: number;
 }
 
+/** Makes what a started host decides by what it receives; `exchange` may be called later. */
+export type MakeDecisions = (
+  address: HostAddress,
+  ledger: Ledger,
+  exchange: () => Exchange,
+) => Partial<ExchangeParts>;
+
 /**
  * Simulated hosts of several zones on a network with packet loss and partitions, in simulated time.
  */
@@ -56,6 +70,11 @@
   /** Whether datagrams from one host to another are dropped. */
   isCut: (from: HostAddress, to: HostAddress) => boolean = () => false;
 
+  /** Called with each datagram that a host sends. */
+  onSend: (bytes: Buffer, from: string) => void = () => {};
+
+  private readonly hostsByIp = new Map<string, SimulatedHost>();
+
   private readonly listeners = new Map<string, (bytes: Buffer, fromIp: string) => void>();
 
   private nextIncarnation = 0;
@@ -67,6 +86,8 @@
     private readonly seeds: () => readonly string[],
     /** Read by the reader of each zone; without it, hosts only learn from each other. */
     private readonly source: SimulatedSource | null = null,
+    /** By default a host only records what it receives. */
+    private readonly makeDecisions: MakeDecisions = () => ({}),
   ) {}
 
   /** Starts a host, or restarts it without its previous state. */
@@ -86,6 +107,8 @@
     };
     const inFlightTable = new InFlightTable(this.clock);
     const crashTable = new CrashTable(this.clock);
+    const targetStates = new TargetStatisticsTable(this.clock, inFlightTable, () => {});
+    ledger.onChange((catalog) => targetStates.applyCatalog(catalog));
     const inFlightBroadcaster = new InFlightBroadcaster(this.clock, id, {
       broadcastInFlightCounts: (counts, isCrossZone) =>
         this.hosts.get(id)!.exchange.broadcastInFlightCounts(counts, isCrossZone),
@@ -93,7 +116,7 @@
       hasInFlightBroadcasts: () =>
         !isLargeZone(this.hosts.get(id)!.exchange.membership.neighbours().length),
     });
-    const exchange = new Exchange({
+    const exchange: Exchange = new Exchange({
       ...{ clock: this.clock, link, ledger, self: address, zones: this.zones },
       random: new SeededRandom(this.nextIncarnation),
       events: { emit: () => {} },
@@ -110,16 +133,22 @@
         for (const count of counts) inFlightTable.apply(count);
         if (shouldRebroadcast) inFlightBroadcaster.rebroadcast(counts);
       },
-      notices: () => ({ crashes: crashTable.histories(), leaving: [] }),
-      onNotices: ({ crashes }) => {
+      notices: () => ({
+        crashes: crashTable.histories(),
+        leaving: targetStates.leavingTargets(),
+      }),
+      onNotices: ({ crashes, leaving }) => {
         for (const history of crashes) crashTable.apply(history);
+        for (const target of leaving) targetStates.recordLeaving(target);
       },
+      ...this.makeDecisions(address, ledger, () => exchange),
     });
     const host: SimulatedHost = {
       address,
       inFlightTable,
       inFlightBroadcaster,
       crashTable,
+      targetStates,
       ledger,
       exchange,
       reports,
@@ -130,6 +159,7 @@
       pullsServed: 0,
     };
     this.hosts.set(id, host);
+    this.hostsByIp.set(ip, host);
     exchange.start();
     void host.reader?.run();
     return host;
@@ -185,17 +215,14 @@
     });
   }
 
-  private byIp(ip: string): SimulatedHost | undefined {
-    return [...this.hosts.values()].find((host) => host.address.ip === ip);
-  }
-
   private send(from: HostAddress, toIp: string, bytes: Buffer): void {
     const sender = this.hosts.get(from.id);
     if (sender !== undefined) {
       sender.sentBytes += bytes.length;
       sender.sentDatagrams += 1;
     }
-    const to = this.byIp(toIp);
+    this.onSend(bytes, from.id);
+    const to = this.hostsByIp.get(toIp);
     if (to === undefined || to.isDown || this.isCut(from, to.address)) return;
     if (this.random.next() < this.lossRatio) return;
     const delay = to.address.zone === from.zone ? SAME_ZONE_LATENCY_MS : CROSS_ZONE_LATENCY_MS;
