Read what has arrived before a call leaves on a new connection

Seen in the soak of 20 hosts: calls left 1 to 2 ms before the host noted the wish of their target for quiet, as a host that was held up found open connections and answers at once, and wrote first.

--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -243,7 +243,11 @@
         return;
       }
       this.socket = socket;
-      callback(null, socket);
+      // An answer that has already arrived may say that the target wants no calls.
+      afterPendingInput(() => {
+        if (socket.destroyed) callback(new Error('connection was closed'), null);
+        else callback(null, socket);
+      });
     });
   }
 
