--- a/test/placement/retryBudget.test.ts
+++ b/test/placement/retryBudget.test.ts
@@ -40,3 +40,17 @@
   clock.advanceBy(10_000);
   expect(budget.tryAcquire(20)).toBe(true);
 });
+
+// Guards against attempts that were withdrawn before a byte left and use up the retries of others.
+it('allows another retry for each one that is returned', () => {
+  const clock = new ManualClock();
+  const budget = new RetryBudget(clock, { ratio: 0, slack: 3, windowMs: 1000 }, -1000);
+  const acquire = () => budget.tryAcquire(1);
+  expect([acquire(), acquire(), acquire(), acquire()]).toEqual([true, true, true, false]);
+  clock.advanceBy(100);
+  budget.release();
+  expect([acquire(), acquire()]).toEqual([true, false]);
+  clock.advanceBy(950);
+  // The two that were not returned have left the window; the latest one has not.
+  expect([acquire(), acquire(), acquire()]).toEqual([true, true, false]);
+});
