Count only requests of its interface in the store's stand-in

A balancer of another test checks a server that crashed every 45 ms, and a stand-in that is given the port next counted these checks as requests to the store.

The stand-in counts the requests to its interface; it answers others with 404 as before. A host has no other requests for a store.

test/source/storeStandin: before, failed (1 health check counted); after, passed, with 16 of 16 in test/source/store*.

--- a/standins/store/storeStandin.ts
+++ b/standins/store/storeStandin.ts
@@ -6,6 +6,8 @@
  */
 export type StoreMode = 'well' | 'busy' | 'tooMany' | 'silent' | 'reset' | 'loses';
 
+const API_PREFIX = '/api/';
+
 interface Item {
   readonly key: string;
   readonly revision: number;
@@ -80,7 +82,7 @@
     this.mode = mode;
   }
 
-  /** Number of requests since the start. */
+  /** Number of requests to the interface of the store since the start. */
   callCount(): number {
     return this.calls;
   }
@@ -132,6 +134,11 @@
   }
 
   private handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    // Another test may still send health checks to a server that had this port.
+    if (request.url?.startsWith(API_PREFIX) !== true) {
+      response.writeHead(404).end();
+      return;
+    }
     this.calls += 1;
     if (this.mode === 'silent') return;
     if (this.mode === 'reset') {
