Hedge a call of the gateway in time, and at another target

A lookup at a silent target ended with 504 at its time limit, although the other target would have answered.

Two causes, both brought about by one slow answer: - The delay of a hedge is the 95th percentile of the answer times, which is the maximum of the first 20 answers. One answer after 900 ms left a hedge 100 ms of a time limit of 1 s. A hedge is now sent after half of the time limit at the latest, also while the sample is too small; the retry budget bounds it as before. - The slow answer ejected its target as an outlier. The hedge then had the silent target as the only one in rotation, and was sent there again. A second attempt now goes to an ejected target rather than to one that it should avoid.

--- a/src/forwarding/retryableRun.ts
+++ b/src/forwarding/retryableRun.ts
@@ -21,6 +21,8 @@
 }
 
 const MAX_EXTRA_ATTEMPTS = 2;
+// A hedge after this share of the time limit leaves the second target as much time as the first one had.
+const LATEST_HEDGE_SHARE = 1 / 2;
 const FIRST_SERVER_ERROR = 500;
 
 function isSuccessful(result: PlacementResult): boolean {
@@ -72,10 +74,10 @@
   }
 
   private scheduleHedge(): void {
-    const delayMs = this.context.history.answerTimes.hedgeDelayMs();
-    if (delayMs === null || !this.context.mayHedge) return;
-    const at = this.startedAt + delayMs;
-    if (at >= this.call.traits.deadline) return;
+    if (!this.context.mayHedge) return;
+    const latestDelayMs = (this.call.traits.deadline - this.startedAt) * LATEST_HEDGE_SHARE;
+    const delayMs = this.context.history.answerTimes.hedgeDelayMs() ?? Infinity;
+    const at = this.startedAt + Math.min(delayMs, latestDelayMs);
     this.hedgeTimer = this.context.clock.setTimer(at, () => this.startExtraAttempt('hedge'));
   }
 
--- a/src/routing/targetChoice.ts
+++ b/src/routing/targetChoice.ts
@@ -83,5 +83,11 @@
     if (ejected !== undefined) return { state: ejected, reason: 'trial of a suspected target' };
   }
   const state = leastLoaded(groups.inRotation, call, now, start);
+  if (call.idempotent && state !== null && call.avoid.has(state.target.target)) {
+    // A slow target is a better second choice than the one that does not answer.
+    const others = groups.ejected.filter(({ target }) => !call.avoid.has(target.target));
+    const other = leastLoaded(others, call, now, 0);
+    if (other !== null) return { state: other, reason: 'trial of a suspected target' };
+  }
   return state === null ? null : { state, reason: 'least loaded' };
 }
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -142,6 +142,26 @@
   expect(targets[0]!.cancelled).toBeGreaterThan(0);
 });
 
+// Guards against a hedge so late that the second target has no time left: one slow answer among the first
+// ones is their 95th percentile.
+test('a call at a silent target is hedged in time after one slow answer', async () => {
+  const { fleet, targets } = await startTestFleet([new RawTarget(), new RawTarget()]);
+  const answerAfter = (ms: number) => (_request: unknown, response: ServerResponse) =>
+    setTimeout(() => response.end('ok'), ms);
+  for (let call = 0; call < 24; call += 1) {
+    for (const target of targets) target.handler = answerAfter(call === 5 ? 900 : 1);
+    await (await request(`${fleet.urls[0]}/${SERVICE}/x`)).body.dump();
+  }
+  targets[0]!.handler = NEVER_ANSWER;
+  targets[1]!.handler = answerAfter(200);
+  const before = targets[0]!.requests.length;
+  while (targets[0]!.requests.length === before) {
+    const answer = await request(`${fleet.urls[0]}/${SERVICE}/x`);
+    expect(answer.statusCode).toBe(200);
+    await answer.body.dump();
+  }
+});
+
 // Guards against failing calls because of a dead target while another target could run them.
 test('a refused connection counts as not-run and the call goes to another target', async () => {
   const dead = await freePort();
