--- a/test/support/balancerProcess.ts
+++ b/test/support/balancerProcess.ts
@@ -104,7 +104,11 @@
   }
 
   private records(): readonly Record<string, unknown>[] {
-    const lines = this.output.split('\n').filter((line) => line.startsWith('{'));
+    // The last line may be incomplete.
+    const lines = this.output
+      .split('\n')
+      .slice(0, -1)
+      .filter((line) => line.startsWith('{'));
     return lines.map((line) => JSON.parse(line) as Record<string, unknown>);
   }
 
