--- a/test/balancer/floods.test.ts
+++ b/test/balancer/floods.test.ts
@@ -1,4 +1,5 @@
 import { BalancerProcess, DEPLOYED_FLAGS, MAIN } from '../support/balancerProcess';
+import { PipelinedFlood } from '../support/pipelinedFlood';
 import { RawCaller } from '../support/rawCaller';
 import { TestPlatform } from '../support/testPlatform';
 
@@ -13,10 +14,13 @@
 
   let callers: RawCaller[];
 
+  let flood: PipelinedFlood | null;
+
   beforeEach(async () => {
     platform = new TestPlatform();
     balancer = new BalancerProcess(platform);
     callers = [];
+    flood = null;
     platform.configure([
       { prefix: '/flood/', service: 'floods', isIdempotent: false, timeLimitMs: 30_000 },
       { prefix: '/silent/', service: 'silent', isIdempotent: true, timeLimitMs: 1000 },
@@ -35,15 +39,11 @@
 
   afterEach(async () => {
     for (const caller of callers) caller.leave();
+    flood?.close();
     balancer.close();
     await platform.stop();
   });
 
-  function flood(count: number, textOf: (index: number) => string): void {
-    callers = Array.from({ length: count }, () => new RawCaller(platform.callerPort));
-    for (const [index, caller] of callers.entries()) caller.write(textOf(index));
-  }
-
   /** Sends calls of another caller one after the other; returns their statuses and times. */
   async function callBeside() {
     const replies: { status: number; elapsedMs: number }[] = [];
@@ -68,7 +68,9 @@
   it('in chunks of one byte do not hold up others, and are served', async () => {
     const body = `${'1\r\nx\r\n'.repeat(240_000)}0\r\n\r\n`;
     const head = `POST /flood/x HTTP/1.1\r\n${HEAD}Transfer-Encoding: chunked\r\n`;
-    flood(20, (index) => `${head}Request-Id: f-${index}\r\n\r\n${body}`);
+    callers = Array.from({ length: 20 }, () => new RawCaller(platform.callerPort));
+    for (const [index, caller] of callers.entries())
+      caller.write(`${head}Request-Id: f-${index}\r\n\r\n${body}`);
     expectInTime(await callBeside());
     for (let wait = 0; wait < 300 && callers.some(({ text }) => text === ''); wait += 1)
       await platform.sleep(100);
@@ -80,11 +82,7 @@
 
   // Guards against callers with many calls behind each other that make all others wait.
   it('in thousands of calls behind each other do not hold up others', async () => {
-    const call = (id: string) => `GET /silent/x HTTP/1.1\r\n${HEAD}Request-Id: ${id}\r\n\r\n`;
-    flood(50, (index) =>
-      Array.from({ length: 4000 }, (_, number) => call(`f-${index}-${number}`)).join(''),
-    );
-    for (const caller of callers) caller.pause();
+    flood = await PipelinedFlood.start(platform.callerPort, 50, 4000);
     expectInTime(await callBeside());
   }, 60_000);
 });
