Use a configuration of which a part is not known

Cause: one route of a type that was added later, or one unreadable row, made the whole configuration unusable, so that no host became ready.

Change: a route of an unknown type is used as non-idempotent, an unreadable row is left out; both are named in one log line (2005). Uploads are calls that must not be repeated.

--- a/src/balancer/makeReader.ts
+++ b/src/balancer/makeReader.ts
@@ -6,6 +6,9 @@
 import { BALANCER_METRICS } from './metrics';
 import { sourceReports } from './sourceReports';
 
+// Keeps the line short when every row of a table is unreadable.
+const MAX_LOGGED_REMARKS = 5;
+
 /** What the reader fills and tells, and whether this host is stopping. */
 export interface ReaderSinks {
   readonly ledger: Ledger;
@@ -37,12 +40,17 @@
       // Sends all records, not only the changed ones: a host that applies the changes regards its
       // catalog as complete up to their revision.
       exchange.broadcastChanges(changes);
-      for (const { key, fact, revision } of changedRecords) {
+      for (const { key, fact, revision, remarks = [] } of changedRecords) {
         events.emit(SOURCE_EVENTS.changed, {
           key,
           revision,
           kind: fact?.kind ?? 'nothing usable',
         });
+        if (remarks.length > 0)
+          events.emit(SOURCE_EVENTS.partlyUsed, {
+            ...{ key, revision, count: remarks.length },
+            remarks: remarks.slice(0, MAX_LOGGED_REMARKS),
+          });
       }
     },
     onStateChange: () => exchange.announce(),
--- a/src/catalog/changesCodec.ts
+++ b/src/catalog/changesCodec.ts
@@ -16,11 +16,15 @@
   return { ...changes, records };
 }
 
+// The host that read a value has logged the remarks about it.
+function withoutRemarks({ key, revision, fact }: CatalogRecord): CatalogRecord {
+  return { key, revision, fact };
+}
+
 /** Encodes changes as JSON to be sent to another host at monotonic time `now`. */
 export function encodeChanges(changes: CatalogChanges, now: number): string {
-  return JSON.stringify(
-    mapColdUntil(changes, (coldUntil) => Math.max(0, Math.round(coldUntil - now))),
-  );
+  const toSend = mapColdUntil(changes, (coldUntil) => Math.max(0, Math.round(coldUntil - now)));
+  return JSON.stringify({ ...toSend, records: toSend.records.map(withoutRemarks) });
 }
 
 function parseJson(text: string): unknown {
--- a/src/source/events.ts
+++ b/src/source/events.ts
@@ -10,4 +10,9 @@
     message: 'stopped reading the catalog source; another host reads it',
   },
   changed: { number: 2004, level: 'info', message: 'catalog changed' },
+  partlyUsed: {
+    number: 2005,
+    level: 'warn',
+    message: 'parts of a published value are left out or not used as written',
+  },
 });
--- a/standins/store/publishedValues.ts
+++ b/standins/store/publishedValues.ts
@@ -5,6 +5,8 @@
   readonly prefix: string;
   readonly service: string;
   readonly isIdempotent: boolean;
+  /** Type as written, in place of the one that follows from `isIdempotent`. */
+  readonly type?: string;
   readonly timeLimitMs?: number;
   readonly objectiveMs?: number;
   readonly priority?: number;
@@ -57,7 +59,7 @@
       ],
       rows: routes.map((route) => [
         ...[`r${route.prefix}`, 'test.example', route.prefix],
-        route.isIdempotent ? 'idempotent' : 'non_idempotent',
+        route.type ?? (route.isIdempotent ? 'idempotent' : 'non_idempotent'),
         ...[route.timeLimitMs ?? 1000, route.objectiveMs ?? 200, route.priority ?? 0],
         route.parts === undefined ? route.service : null,
         route.mostAttempts ?? 2,
