Add tenants, public routes and the settings of keys and quotas to the catalog

Cause: the configuration's tenants were dropped when it was decoded, so that no host could tell who calls.

Nothing uses them yet.

--- a/src/catalog/buildCatalog.ts
+++ b/src/catalog/buildCatalog.ts
@@ -5,6 +5,7 @@
 import { type Configuration } from './configuration';
 import { RouteTable } from './routeTable';
 import { type Target } from './target';
+import { TenantTable } from './tenantTable';
 
 function groupByService(
   targets: ReadonlyMap<string, Target>,
@@ -30,6 +31,11 @@
   return objectiveMsByService;
 }
 
+function tenantTable(configuration: Configuration | null): TenantTable | null {
+  const tenants = configuration?.tenants ?? null;
+  return tenants === null ? null : new TenantTable(tenants);
+}
+
 /** Builds the immutable catalog from the facts that are current at revision `asOf`. */
 export function buildCatalog(
   asOf: number,
@@ -56,6 +62,7 @@
     routes: isConfigurationUnchanged
       ? previous.routes
       : new RouteTable(configuration?.routes ?? []),
+    tenants: isConfigurationUnchanged ? previous.tenants : tenantTable(configuration),
     services: isConfigurationUnchanged
       ? previous.services
       : new Map((configuration?.services ?? []).map((service) => [service.name, service])),
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -2,6 +2,7 @@
 import { type RouteTable } from './routeTable';
 import { type Service } from './service';
 import { type Target } from './target';
+import { type TenantTable } from './tenantTable';
 
 /** Published state that routing and forwarding use; immutable and replaced as a whole. */
 export interface Catalog {
@@ -10,6 +11,8 @@
   /** Null until a configuration was received. */
   readonly configuration: Configuration | null;
   readonly routes: RouteTable;
+  /** Null when callers need no keys. */
+  readonly tenants: TenantTable | null;
   readonly services: ReadonlyMap<string, Service>;
   readonly targets: ReadonlyMap<string, Target>;
   /** Targets by service, sorted by id. */
--- a/src/catalog/changesSchema.ts
+++ b/src/catalog/changesSchema.ts
@@ -14,9 +14,18 @@
   latencyObjectiveMs: z.number().positive(),
   priority: z.number(),
   mostAttempts: z.number(),
+  isPublic: z.boolean().default(false),
   parts: z.array(z.object({ service: z.string(), weight: z.number().nonnegative() })),
 });
 
+const tenantSchema = z.object({
+  name: z.string(),
+  keyDigests: z.array(z.string()),
+  priority: z.number().nullable(),
+  callsPerSecond: z.number().nonnegative(),
+  burst: z.number().nonnegative(),
+});
+
 const configurationSchema = z.object({
   version: z.number(),
   routes: z.array(routeSchema),
@@ -35,6 +44,7 @@
     headerTimeoutMs: z.number(),
     idleTimeoutMs: z.number(),
   }),
+  tenants: z.array(tenantSchema).nullable().default(null),
 });
 
 const targetSchema = z.object({
--- a/src/catalog/route.ts
+++ b/src/catalog/route.ts
@@ -17,6 +17,8 @@
   readonly priority: number;
   /** Maximum number of targets to which one call is sent. */
   readonly mostAttempts: number;
+  /** Whether callers need no key, where the configuration has tenants. */
+  readonly isPublic: boolean;
   /** Services that share the calls; at least one. */
   readonly parts: readonly RoutePart[];
 }
--- a/src/settings/balancerSettings.ts
+++ b/src/settings/balancerSettings.ts
@@ -120,6 +120,44 @@
     unit: 's',
     description: 'Window in which retries are counted.',
   },
+  'strict-revocation': {
+    schema: z.string().transform((text) => text === 'true'),
+    fallback: '',
+    unit: '',
+    description:
+      'Whether a withdrawn key may not be used later than revocation-ms after its withdrawal, on ' +
+      'any host. Any text other than true means no.',
+  },
+  'revocation-ms': {
+    schema: optionalNumber(5000),
+    fallback: '',
+    unit: 'ms',
+    description: 'Time after which a withdrawn key is no longer used. 5000 if empty.',
+  },
+  'configuration-apply-ms': {
+    schema: optionalNumber(2000),
+    fallback: '',
+    unit: 'ms',
+    description: 'Time by which a published configuration is in force. 2000 if empty.',
+  },
+  'quota-window-s': {
+    schema: optionalNumber(5),
+    fallback: '',
+    unit: 's',
+    description: 'Window in which the calls of a tenant are counted. 5 if empty.',
+  },
+  'quota-overage': {
+    schema: optionalNumber(0.25),
+    fallback: '',
+    unit: '',
+    description: 'Share by which a tenant may exceed its limit in a window. 0.25 if empty.',
+  },
+  'quota-slack': {
+    schema: optionalNumber(20),
+    fallback: '',
+    unit: 'calls',
+    description: 'Calls of a tenant in a window beyond its limit and the overage. 20 if empty.',
+  },
   'memory-limit-mb': {
     schema: optionalNumber(350),
     fallback: '',
--- a/standins/fleet/modelCatalog.ts
+++ b/standins/fleet/modelCatalog.ts
@@ -15,6 +15,7 @@
     ...{ name: kind.name, hostName: 'model', prefix: `/${kind.name}/` },
     ...{ isIdempotent: kind.isIdempotent, timeLimitMs: kind.timeLimitMs },
     ...{ latencyObjectiveMs: kind.objectiveMs, priority: kind.priority, mostAttempts: 2 },
+    isPublic: false,
     parts: [{ service: kind.service, weight: 1 }],
   }));
   const configuration: Configuration = {
@@ -23,6 +24,7 @@
       ...{ name, probePath: '/', connectionLimit: 200 },
       ...{ coldPeriodMs: 3000, coldRatePerSecond: 8 },
     })),
+    tenants: null,
     limits: { headerBytes: 16_384, bodyBytes: 1e6, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
   };
   const targets: Target[] = services.flatMap((service) =>
--- a/test/catalog/ledger.test.ts
+++ b/test/catalog/ledger.test.ts
@@ -9,7 +9,7 @@
 
 function configuration(version: number): Configuration {
   const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-  return { version, routes: [], services: [], limits };
+  return { version, routes: [], services: [], limits, tenants: null };
 }
 
 function configurationRecord(revision: number, version: number | null): CatalogRecord {
--- a/test/delivery/weightedRoundRobin.test.ts
+++ b/test/delivery/weightedRoundRobin.test.ts
@@ -3,7 +3,13 @@
 import { SeededRandom } from '../../src/runtime';
 
 function route(weights: readonly number[]): Route {
-  const base = { name: 'r', hostName: 'calls.example', prefix: '/', isIdempotent: true };
+  const base = {
+    name: 'r',
+    hostName: 'calls.example',
+    prefix: '/',
+    isIdempotent: true,
+    isPublic: false,
+  };
   const limits = { timeLimitMs: 1000, latencyObjectiveMs: 300, priority: 0, mostAttempts: 2 };
   const parts = weights.map((weight, index) => ({ service: `s-${index}`, weight }));
   return { ...base, ...limits, parts };
--- a/test/exchange/simulatedFleet.ts
+++ b/test/exchange/simulatedFleet.ts
@@ -17,10 +17,14 @@
     latencyObjectiveMs: 300,
     priority: 0,
     mostAttempts: 2,
+    isPublic: false,
     parts: [{ service: 's', weight: version }],
   }));
   const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-  return { kind: 'configuration', configuration: { version, routes, services: [], limits } };
+  return {
+    kind: 'configuration',
+    configuration: { version, routes, services: [], limits, tenants: null },
+  };
 }
 
 function target(id: string, slots: number): CatalogFact {
