Do not time out a whole reply while it is decompressed

Cause: the timer for pauses of the sender ran on while a compressed reply was decompressed, so that a busy host reported a whole reply as a timeout.

Change: the timer ends when the last byte has arrived; decompression is bounded by the size of its result.

Measured: test/transport/pendingReply fails before and passes after.

--- a/src/transport/pendingReply.ts
+++ b/src/transport/pendingReply.ts
@@ -66,6 +66,8 @@
       this.decode(bytes);
       return;
     }
+    // The reply is whole: the time that its decompression takes says nothing about its sender.
+    this.timer.cancel();
     gunzip(bytes, { maxOutputLength: MAX_REPLY_BYTES }, (error, decoded) => {
       if (error === null) this.decode(decoded);
       else this.end(Err({ kind: 'unreadable', message: error.message }));
