Take an answer whose status lies outside 100 to 599 for none

Cause: the parser takes any three digits, and both products passed 600 and 999 on as answers; the balancer ended 000 to 099 only after more interim answers.

Change: headFault checks the status; such an answer ends the attempt with an unknown outcome, and its connection is closed.

--- a/src/delivery/targetConnection.ts
+++ b/src/delivery/targetConnection.ts
@@ -117,6 +117,11 @@
             listener.onSent();
           },
           onResponseStart: (controller, status, answerHeaders, statusText) => {
+            const fault = headFault(status, answerHeaders, statusText ?? '');
+            if (fault !== null) {
+              if (this.activeListener === listener) fail('garbled', fault);
+              return;
+            }
             if (status < 200) {
               interimAnswers += 1;
               const isTooMany = interimAnswers > MAX_INTERIM_ANSWERS;
@@ -125,11 +130,6 @@
               return;
             }
             isNotModified = status === 304;
-            const fault = headFault(answerHeaders, statusText ?? '');
-            if (fault !== null) {
-              if (this.activeListener === listener) fail('garbled', fault);
-              return;
-            }
             isFramed =
               answerHeaders['content-length'] !== undefined ||
               answerHeaders['transfer-encoding'] !== undefined ||
--- a/src/forwarding/transmit.ts
+++ b/src/forwarding/transmit.ts
@@ -97,9 +97,9 @@
     headers: IncomingHttpHeaders,
     statusText?: string,
   ): void {
-    if (status < 200) return;
+    const fault = headFault(status, headers, statusText ?? '');
+    if (status < 200 && fault === null) return;
     this.controller = controller;
-    const fault = headFault(headers, statusText ?? '');
     if (fault !== null) {
       controller.abort(new Error(fault));
       return;
--- a/test/cutTargetAnswers.test.ts
+++ b/test/cutTargetAnswers.test.ts
@@ -100,4 +100,14 @@
       expect((await receive('GET', 60)).slice(-1)).toEqual(['lost']);
     }
   });
+
+  // Guards against a caller that takes the bytes of a target in trouble for an answer to its call.
+  it.each(['000', '001', '099', '101', '600', '999', '1000', '20', '2 0', '-20', ''])(
+    'is none with the status %j',
+    async (status) => {
+      target.onCall = ({ socket }) =>
+        socket.write(`HTTP/1.1 ${status} x\r\nContent-Length: 2\r\n\r\nno`);
+      expect(await receive('POST')).toEqual(['lost']);
+    },
+  );
 });
