Rank calls by the priority of their tenant, then by that of their route

Cause: ranks follow the priorities of the routes of a service only, and the bound on the expected time was looked up by the rank in a table of two entries: with three priorities the rank in between had no bound, so that none of its calls was refused. Change: `IncomingCall` has its tenant, `PriorityRanks` ranks calls by (tenant's priority, route's priority); without a tenant's priority the route's stands for it. The tenant is null for all calls until keys are read.

--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -283,7 +283,7 @@
     const deadlines = callDeadlines(request, route, arrivedAt, this.parts.protocol);
     if (deadlines.deadline > this.parts.context.stopDeadline())
       return this.refuse('stopping', request);
-    return { id, route, service, arrivedAt, ...deadlines, catalog };
+    return { id, route, tenant: null, service, arrivedAt, ...deadlines, catalog };
   }
 
   private refuse(
--- a/src/delivery/incomingCall.ts
+++ b/src/delivery/incomingCall.ts
@@ -1,6 +1,6 @@
 import { type Readable } from 'node:stream';
 
-import { type Route } from '../catalog';
+import { type Route, type Tenant } from '../catalog';
 
 /** A caller's request, ready to be forwarded; times are monotonic milliseconds. */
 export interface IncomingCall {
@@ -12,6 +12,8 @@
   /** Null when there is none; a stream when it is too long to be buffered for a retry. */
   readonly body: Buffer | Readable | null;
   readonly route: Route;
+  /** Null on public routes, and where the configuration has no tenants. */
+  readonly tenant: Tenant | null;
   /** Service chosen by the weights of the route. */
   readonly service: string;
   readonly arrivedAt: number;
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -1,4 +1,4 @@
-import { type Configuration, type Route, type Target } from '../catalog';
+import { type Target } from '../catalog';
 import {
   isUnchecked,
   type LastSlotSlowdowns,
@@ -16,6 +16,7 @@
 import { type Random } from '../runtime';
 
 import { type IncomingCall } from './incomingCall';
+import { PriorityRanks } from './priorityRanks';
 import { type AdmissionParts, TargetAdmission } from './targetAdmission';
 import { TargetPool } from './targetPool';
 
@@ -53,13 +54,7 @@
 
   private readonly waitQueues = new Map<string, WaitQueue>();
 
-  private ranks: {
-    readonly computedFor: Configuration | null;
-    readonly byCall: Map<string, number>;
-  } = {
-    computedFor: null,
-    byCall: new Map(),
-  };
+  private ranks = new PriorityRanks(null);
 
   constructor(private readonly parts: PlacerParts) {
     this.admission = new TargetAdmission(parts);
@@ -126,27 +121,11 @@
     return { rank: this.rankOf(call), latestStart: objectiveAt - this.usualWorkMs(call) };
   }
 
-  /** Rank of the call's priority among the routes of its service: 0 most urgent, 1 least urgent. */
+  /** Rank of the call among those that its service may get: 0 most urgent, 1 least urgent. */
   rankOf(call: IncomingCall): number {
     const { configuration } = this.parts.catalog();
-    if (this.ranks.computedFor !== configuration)
-      this.ranks = { computedFor: configuration, byCall: new Map() };
-    const key = `${call.route.priority} ${call.service}`;
-    const knownRank = this.ranks.byCall.get(key);
-    if (knownRank !== undefined) return knownRank;
-    const rank = this.computeRank(call, configuration?.routes ?? []);
-    this.ranks.byCall.set(key, rank);
-    return rank;
-  }
-
-  private computeRank(call: IncomingCall, routes: readonly Route[]): number {
-    const priorities = new Set<number>();
-    for (const route of routes) {
-      if (route.parts.some((part) => part.service === call.service)) priorities.add(route.priority);
-    }
-    const ordered = [...priorities].sort((left, right) => left - right);
-    const index = ordered.indexOf(call.route.priority);
-    return index <= 0 ? 0 : index / (ordered.length - 1);
+    if (this.ranks.configuration !== configuration) this.ranks = new PriorityRanks(configuration);
+    return this.ranks.rankOf(call);
   }
 
   /** The limit as a log field; JSON has no infinity. */
--- a/src/delivery/readCall.ts
+++ b/src/delivery/readCall.ts
@@ -1,6 +1,6 @@
 import { type IncomingMessage } from 'node:http';
 
-import { type Catalog, type Route } from '../catalog';
+import { type Catalog, type Route, type Tenant } from '../catalog';
 
 import { type CallDeadlines } from './callDeadlines';
 import { type CallProtocol } from './callProtocol';
@@ -19,6 +19,8 @@
 export interface RoutedCall extends CallDeadlines {
   readonly id: string;
   readonly route: Route;
+  /** Null on public routes, and where the configuration has no tenants. */
+  readonly tenant: Tenant | null;
   readonly service: string;
   readonly arrivedAt: number;
   readonly catalog: Catalog;
@@ -34,7 +36,7 @@
   protocol: CallProtocol,
   memory: MemoryShare,
 ): Promise<IncomingCall | RejectedRequest | 'noMemory' | null> {
-  const { id, route, service, arrivedAt, deadline, callerDeadline, catalog } = routed;
+  const { id, route, tenant, service, arrivedAt, deadline, callerDeadline, catalog } = routed;
   const body = await readCallBody(request, catalog.configuration!.limits.bodyBytes, memory);
   if (body === 'left') return null;
   if (body === 'noMemory') return body;
@@ -46,6 +48,7 @@
     headers: endToEndHeaders(request.rawHeaders, protocol),
     body,
     route,
+    tenant,
     service,
     arrivedAt,
     deadline,
--- a/standins/fleet/modelCallers.ts
+++ b/standins/fleet/modelCallers.ts
@@ -131,6 +131,7 @@
       ...{
         arrivedAt: now,
         deadline: now + kind.timeLimitMs,
+        tenant: null,
         callerDeadline: now + 2 * kind.timeLimitMs,
       },
     };
--- a/test/placement/chooseTarget.test.ts
+++ b/test/placement/chooseTarget.test.ts
@@ -107,6 +107,19 @@
     );
   });
 
+  // Guards against a rank between 0 and 1, which three priorities or more give, to which no bound applies.
+  it('refuses calls of a rank in between by a bound in between', () => {
+    const slow = candidate({ pace: 700 });
+    const time = expectedTime(slow, REQUIREMENTS);
+    const chooseAt = (leftShare: number) =>
+      choose([slow], { ...REQUIREMENTS, leftMs: time * leftShare, rank: 0.5 });
+    expect([0.1, 0.75, 0.85].map(chooseAt)).toEqual([
+      'refuse overloaded',
+      'refuse overloaded',
+      't',
+    ]);
+  });
+
   // Load pattern: overlapping bursts of 1.4 times the usual load; calls that queue for longer than
   // their objective make all calls behind them late, at every target.
   it('refuses a call that would queue for much longer than its objective', () => {
