Tell tenants apart by their API keys, and keep the keys from targets

Cause: the configuration's tenants were known, but each call was served without a key, and keys were passed on to targets. Change: where the configuration has tenants, a call on a route that is not public needs exactly one well-formed `Authorization: Bearer KEY`. It is answered 401 without one or with an unknown one; 503 while keys may not be used (at arrival, at each placement and when its first byte is about to be sent) or while an unknown key may be newer than the configuration. `Authorization` and a caller's `Tenant-Id` are removed, and the host sets `Tenant-Id`. The limit of a tenant is asked for before the body is read; a grant is returned if no attempt was sent. Log lines and counters name the tenant, warnings name tenants with shared keys, without keys, or with a limit that cannot be met. Calls that end before they are placed are now counted under their route, once it is known. No deployment was run.

--- a/src/balancer/balancerParts.ts
+++ b/src/balancer/balancerParts.ts
@@ -1,3 +1,4 @@
+import { type CallQuotas, type KeyValidity } from '../delivery';
 import { type Lifecycle } from '../lifecycle';
 import { type EventSink } from '../logging';
 import { type PrometheusSink } from '../metrics';
@@ -17,5 +18,9 @@
   readonly events: EventSink;
   readonly metrics: PrometheusSink;
   readonly lifecycle: Lifecycle;
+  /** Whether callers' keys may be used; by default always. */
+  readonly keys?: KeyValidity;
+  /** Limits of tenants; by default none. */
+  readonly quotas?: CallQuotas;
   readonly droppedLines: () => number;
 }
--- a/src/balancer/callPath.ts
+++ b/src/balancer/callPath.ts
@@ -4,10 +4,10 @@
   CallServer,
   CrashGuard,
   Delivery,
-  type IncomingCall,
   MemoryAccount,
   Placer,
   ProbeTable,
+  type RoutedCall,
 } from '../delivery';
 import { LastSlotSlowdowns, type LeavingTarget, WorkEstimates } from '../knowledge';
 import { type Supervisor } from '../lifecycle';
@@ -17,6 +17,7 @@
 import { callerConnectionLimit, targetConnectionLimits } from './descriptorShares';
 import { type FleetKnowledge } from './fleetKnowledge';
 import { BALANCER_METRICS } from './metrics';
+import { TenantLabels } from './tenantLabels';
 
 const BYTES_PER_MEGABYTE = 1024 * 1024;
 // Calls hold at most this share of the memory; the heap with all else takes the rest.
@@ -39,6 +40,8 @@
 
   private readonly delivery: Delivery;
 
+  private readonly tenantLabels = new TenantLabels();
+
   constructor(
     private readonly parts: BalancerParts,
     private readonly sources: CallPathSources,
@@ -54,7 +57,8 @@
     this.calls = new CallServer({
       ...{ clock, random, events, protocol, catalog, context: this.delivery },
       observer: { onEnd: (call, end, elapsedMs) => this.countCall(call, end, elapsedMs) },
-      memory,
+      ...{ memory, keys: parts.keys, quotas: parts.quotas },
+      configurationApplyMs: settings['configuration-apply-ms'],
       maxConnections: callerConnectionLimit(settings['descriptor-limit']),
     });
   }
@@ -126,6 +130,7 @@
       connectionLimits: targetConnectionLimits(settings['descriptor-limit']),
       ...{ memory, clock, random, events, catalog, targetStates, stopDeadline },
       protocol: adapter.protocol,
+      keys: this.parts.keys,
       placer: this.makePlacer(),
       crashes: this.makeCrashGuard(),
       retryBudgetLimits: {
@@ -155,11 +160,16 @@
     this.parts.metrics.increment(BALANCER_METRICS.connections);
   }
 
-  private countCall(call: IncomingCall | null, end: CallEnd, elapsedMs: number): void {
+  private countCall(call: RoutedCall | null, end: CallEnd, elapsedMs: number): void {
     const { metrics } = this.parts;
     const route = call?.route.name ?? 'none';
     const outcome = end.kind === 'own' ? end.own.kind : end.kind;
     metrics.increment(BALANCER_METRICS.calls, 1, { route, outcome });
     metrics.timing(BALANCER_METRICS.callTime, elapsedMs, { route });
+    if (end.kind === 'own' && end.own.kind === 'rejected' && end.own.status === 401)
+      metrics.increment(BALANCER_METRICS.unauthorized);
+    if (call === null || call.tenant === null) return;
+    const tenant = this.tenantLabels.of(call.tenant.name);
+    metrics.increment(BALANCER_METRICS.tenantCalls, 1, { tenant, outcome });
   }
 }
--- a/src/balancer/metrics.ts
+++ b/src/balancer/metrics.ts
@@ -14,6 +14,19 @@
     unit: 'ms',
     description: 'Time from the arrival of a call to its final answer, by route.',
   },
+  unauthorized: {
+    name: 'balancer.calls_unauthorized',
+    kind: 'counter',
+    unit: 'calls',
+    description: 'Calls answered 401, for want of a key or with an unknown one.',
+  },
+  tenantCalls: {
+    name: 'balancer.tenant_calls',
+    kind: 'counter',
+    unit: 'calls',
+    description:
+      'Calls by tenant and outcome; those of all tenants beyond the first 100 are counted together.',
+  },
   attempts: {
     name: 'balancer.attempts',
     kind: 'counter',
--- a/src/delivery/callProtocol.ts
+++ b/src/delivery/callProtocol.ts
@@ -9,6 +9,8 @@
   readonly timeoutHeader: string;
   /** Header with the id of the target that the call is addressed to; no other target may run it. */
   readonly expectedTargetHeader: string;
+  /** Header with the name of the tenant whose call a target gets. */
+  readonly tenantHeader: string;
   readonly retryAfterHeader: string;
   /** Headers of answers that are removed before an answer is forwarded to the caller. */
   readonly internalAnswerHeaders: ReadonlySet<string>;
--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -22,6 +22,7 @@
 import { DELIVERY_EVENTS } from './events';
 import { type IncomingCall } from './incomingCall';
 import { Mailbox } from './mailbox';
+import { staleKeys } from './tenantAnswers';
 
 // A call without a usable target waits for at most this share of its latency objective. After that,
 // a retry by the caller at another host has the better chance.
@@ -57,6 +58,9 @@
 
   private isFinished = false;
 
+  /** Whether a target may have got the call; known when it has ended. */
+  private isSent = false;
+
   /** Entry of the call in the wait queue of its service. */
   private queueEntry: QueuedCall | null = null;
 
@@ -78,6 +82,11 @@
     this.mailbox.put({ kind: 'deadline' });
   }
 
+  /** Whether the call, which has ended, may have been sent to a target. */
+  wasSent(): boolean {
+    return this.isSent;
+  }
+
   /** Runs the call and resolves to its final result. */
   async run(): Promise<CallEnd> {
     try {
@@ -112,6 +121,7 @@
   private place(): CallEnd | null {
     if (this.call.deadline > this.context.stopDeadline())
       return this.finishWithoutRetry('stopping');
+    if (!this.mayUseKey()) return this.finishWithoutRetry('staleKeys');
     if (this.context.crashes.isRefused(this.call)) return this.finishWithoutRetry('crashes');
     const placement = this.context.placer.place(this.call, this.triedTargets, true);
     this.logPlacement(placement);
@@ -132,6 +142,10 @@
       .exhaustive();
   }
 
+  private mayUseKey(): boolean {
+    return this.call.tenant === null || this.context.keys.mayUseKeys();
+  }
+
   // The placement itself limits the wait of a call for a slot of an overloaded target.
   private mayWait(reason: RefusalReason): boolean {
     if (reason === 'overloaded') return true;
@@ -184,6 +198,7 @@
     return (
       isRetryable &&
       this.context.mayHedge() &&
+      this.mayUseKey() &&
       this.triedTargets.size < route.mostAttempts &&
       !this.context.crashes.isSuspect(this.call)
     );
@@ -270,9 +285,17 @@
   }
 
   /** The final result of a call that is not sent again; null while another attempt still runs. */
-  private finishWithoutRetry(reason: RefusalReason): CallEnd | null {
+  private finishWithoutRetry(reason: RefusalReason | 'staleKeys'): CallEnd | null {
     if (this.runningAttempts.size > 0) return null;
-    return this.history.end() ?? this.refuse(reason);
+    const end = this.history.end();
+    if (end !== null) return end;
+    return reason === 'staleKeys' ? this.refuseStaleKeys() : this.refuse(reason);
+  }
+
+  private refuseStaleKeys(): CallEnd {
+    const { keys } = this.context;
+    keys.requestProof();
+    return { kind: 'own', own: staleKeys(keys) };
   }
 
   private handleDeadline(): CallEnd {
@@ -297,6 +320,9 @@
   /** Cancels timers and attempts of the call; an attempt that lost to a hedge may finish. */
   private finish(end: CallEnd): CallEnd {
     this.isFinished = true;
+    // An attempt that still runs may be sent later.
+    this.isSent =
+      end.kind === 'answer' || this.runningAttempts.size > 0 || this.history.sentAttempts() > 0;
     for (const event of this.mailbox.drain())
       if (event.kind === 'ended') event.result.answer?.rest?.cancel();
     for (const timer of this.timers) timer.cancel();
@@ -331,6 +357,7 @@
       call: this.call.id,
       route: this.call.route.name,
       service: this.call.service,
+      tenant: this.call.tenant?.name,
       used: this.triedTargets.size,
       ...placement,
       ...detail,
--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -11,14 +11,18 @@
 import { type CallProtocol } from './callProtocol';
 import { CallRun } from './callRun';
 import { callDeadlines } from './callDeadlines';
+import { CallerCheck } from './callerCheck';
 import { CallerConnection } from './callerConnection';
 import { type DeliveryContext } from './deliveryContext';
+import { type CallQuotas, UNLIMITED_QUOTAS } from './callQuotas';
 import { discardBody } from './discardBody';
 import { DELIVERY_EVENTS } from './events';
+import { ALWAYS_VALID_KEYS, type KeyValidity } from './keyValidity';
 import { type MemoryAccount } from './memoryAccount';
 import { type MemoryShare } from './memoryShare';
-import { type IncomingCall } from './incomingCall';
 import { type RoutedCall, readCall } from './readCall';
+import { QuotaGate, type SentCallEnd } from './quotaGate';
+import { TenantWarnings } from './tenantWarnings';
 import { WeightedRoundRobin } from './weightedRoundRobin';
 
 // Upper bound of the header sizes that a configuration may allow: the limit of the Node.js parser is
@@ -39,6 +43,10 @@
 // An answer that its caller does not read is dropped this long after the caller stopped waiting.
 const UNREAD_ANSWER_GRACE_MS = 500;
 
+// A host in contact proves its configuration again within this time. Within it a key that was published
+// is known, so that one that is not known may be rejected.
+const MAX_PROOF_AGE_MS = 2000;
+
 const TURNED_AWAY_LOG_INTERVAL_MS = 1000;
 
 // Time in each turn of the event loop for callers that send much at once.
@@ -56,7 +64,8 @@
 
 /** Observes the end of each call. */
 export interface CallObserver {
-  onEnd(call: IncomingCall | null, end: CallEnd, elapsedMs: number): void;
+  /** `call` is null when it ended before it had a route and an accepted caller. */
+  onEnd(call: RoutedCall | null, end: CallEnd, elapsedMs: number): void;
 }
 
 /** Dependencies of the call server. */
@@ -72,6 +81,12 @@
   readonly maxConnections: number;
   /** Bounds the bytes that calls hold until their answers are read. */
   readonly memory: MemoryAccount;
+  /** Whether callers' keys may be used; by default always. */
+  readonly keys?: KeyValidity;
+  /** Time by which a published configuration is in force, in milliseconds; by default unbounded. */
+  readonly configurationApplyMs?: number;
+  /** Limits of tenants; by default none. */
+  readonly quotas?: CallQuotas;
 }
 
 /** HTTP server for callers; runs one task per call. */
@@ -82,6 +97,12 @@
 
   private readonly turns: TurnQueue;
 
+  private readonly callers: CallerCheck;
+
+  private readonly quotas: QuotaGate;
+
+  private readonly warnings: TenantWarnings;
+
   private runningCalls = 0;
 
   /** Connections turned away since this was last logged. */
@@ -100,6 +121,12 @@
   constructor(private readonly parts: CallServerParts) {
     this.serviceChoice = new WeightedRoundRobin(parts.random);
     this.turns = new TurnQueue(parts.clock, BULK_SHARE_MS);
+    this.callers = new CallerCheck(
+      parts.keys ?? ALWAYS_VALID_KEYS,
+      Math.min(MAX_PROOF_AGE_MS, parts.configurationApplyMs ?? Infinity),
+    );
+    this.quotas = new QuotaGate(parts.quotas ?? UNLIMITED_QUOTAS);
+    this.warnings = new TenantWarnings(parts.events);
     this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
     this.server.requestTimeout = 0;
     // When the listener closes, Node.js would reset connections whose last answers are still being read.
@@ -123,6 +150,7 @@
     const maxHeaderSize = Math.min(MAX_HEADER_BYTES, limits.headerBytes + REQUEST_LINE_BYTES);
     Object.assign(this.server, { maxHeaderSize });
     this.serviceChoice.retain(routes);
+    this.warnings.applyConfiguration(catalog.configuration);
     for (const resume of this.awaitingConfiguration) resume();
   }
 
@@ -219,26 +247,39 @@
     request: IncomingMessage,
     connection: CallerConnection,
     { id, arrivedAt, memory }: Arrival,
-  ): Promise<{ call: IncomingCall | null; end: CallEnd }> {
+  ): Promise<{ call: RoutedCall | null; end: CallEnd }> {
     if (!memory.tryGrow(CALL_BYTES))
       return { call: null, end: { kind: 'own', own: this.refuse('noMemory', request) } };
     await this.waitForConfiguration(arrivedAt + CONFIGURATION_WAIT_MS);
     const routed = this.routeCall(request, id, arrivedAt);
     if ('kind' in routed) return { call: null, end: { kind: 'own', own: routed } };
+    const hasLeft = () => request.socket.destroyed;
+    const end = await this.quotas.run(routed.tenant, hasLeft, () =>
+      this.runCall(request, connection, routed, memory),
+    );
+    return { call: routed, end };
+  }
+
+  private async runCall(
+    request: IncomingMessage,
+    connection: CallerConnection,
+    routed: RoutedCall,
+    memory: MemoryShare,
+  ): Promise<SentCallEnd> {
     const call = await readCall(request, routed, this.parts.protocol, memory);
+    if (call === null) return { end: { kind: 'callerLeft' }, wasSent: false };
     if (call === 'noMemory')
-      return { call: null, end: { kind: 'own', own: this.refuse('noMemory', request) } };
-    if (call === null) return { call: null, end: { kind: 'callerLeft' } };
+      return { end: { kind: 'own', own: this.refuse('noMemory', request) }, wasSent: false };
     if ('detail' in call)
-      return { call: null, end: { kind: 'own', own: { kind: 'rejected', ...call } } };
+      return { end: { kind: 'own', own: { kind: 'rejected', ...call } }, wasSent: false };
     const run = new CallRun(this.parts.context, call);
     this.runs.add(run);
     const end = await connection.run(run).finally(() => this.runs.delete(run));
-    return { call, end };
+    return { end, wasSent: run.wasSent() };
   }
 
   /** Closes the connection when its caller has not read the answer by the time it stops waiting. */
-  private limitAnswerTime(response: ServerResponse, call: IncomingCall | null): void {
+  private limitAnswerTime(response: ServerResponse, call: RoutedCall | null): void {
     if (response.writableFinished || response.destroyed) return;
     const now = this.parts.clock.now();
     // A caller that states no deadline may read for as long as it may be idle.
@@ -276,6 +317,8 @@
     if (catalog.configuration === null) return this.refuse('noConfiguration', request);
     const route = catalog.routes.find(request.headers.host ?? '', request.url ?? '');
     if (route === null) return { kind: 'rejected', status: 404, detail: 'no route' };
+    const caller = this.callers.check(request.rawHeaders, route, catalog);
+    if (caller.kind !== 'accepted') return caller;
     // Nothing would show that an answer belongs to the call, and targets reject it as well.
     if (id === '') return { kind: 'rejected', status: 400, detail: 'no call id' };
     const service = this.serviceChoice.next(route);
@@ -283,7 +326,7 @@
     const deadlines = callDeadlines(request, route, arrivedAt, this.parts.protocol);
     if (deadlines.deadline > this.parts.context.stopDeadline())
       return this.refuse('stopping', request);
-    return { id, route, tenant: null, service, arrivedAt, ...deadlines, catalog };
+    return { id, route, tenant: caller.tenant, service, arrivedAt, ...deadlines, catalog };
   }
 
   private refuse(
@@ -296,10 +339,11 @@
     return { kind: 'notRun', reason, retryAfterMs: retryAfter(reason, input, this.parts.random) };
   }
 
-  private logEnd(id: string, call: IncomingCall | null, end: CallEnd, elapsedMs: number): void {
+  private logEnd(id: string, call: RoutedCall | null, end: CallEnd, elapsedMs: number): void {
     this.parts.events.emit(DELIVERY_EVENTS.ended, {
       call: id,
       route: call?.route.name ?? null,
+      tenant: call?.tenant?.name,
       elapsedMs: Math.round(elapsedMs),
       end: end.kind,
       ...(end.kind === 'own' ? end.own : {}),
--- a/src/delivery/callerAnswer.ts
+++ b/src/delivery/callerAnswer.ts
@@ -4,15 +4,25 @@
 
 import { type ReceivedAnswer } from './attemptResult';
 import { type CallProtocol } from './callProtocol';
+import { type TenantRefusal } from './tenantRefusal';
 
 /** Answers that this host generates itself, by what they state about the call. */
 export type OwnAnswer =
   /** The call was not executed and will not be. */
-  | { readonly kind: 'notRun'; readonly reason: RefusalReason; readonly retryAfterMs: number }
+  | {
+      readonly kind: 'notRun';
+      readonly reason: RefusalReason | TenantRefusal;
+      readonly retryAfterMs: number;
+    }
   /** The call may have been executed: 502 without a usable answer, 504 after a timeout. */
   | { readonly kind: 'unknown'; readonly status: 502 | 504; readonly detail: string }
   /** The request is invalid. */
-  | { readonly kind: 'rejected'; readonly status: 400 | 404 | 413; readonly detail: string };
+  | { readonly kind: 'rejected'; readonly status: 400 | 401 | 404 | 413; readonly detail: string };
+
+// Only a call beyond the limit of its tenant is refused because of its caller.
+function notRunStatus(reason: RefusalReason | TenantRefusal): number {
+  return reason === 'quotaExceeded' ? 429 : 503;
+}
 
 const HOP_BY_HOP_HEADERS = new Set([
   'connection',
@@ -78,11 +88,12 @@
     let status: number;
     let body: Buffer;
     if (own.kind === 'notRun') {
-      status = 503;
+      status = notRunStatus(own.reason);
       headers[this.protocol.retryAfterHeader] = (own.retryAfterMs / 1000).toFixed(3);
       body = encodeProblem('not-run', status, `not run: ${own.reason}`);
     } else {
       status = own.status;
+      if (status === 401) headers['www-authenticate'] = 'Bearer';
       body = encodeProblem(
         own.kind === 'unknown' ? 'outcome-unknown' : 'rejected',
         status,
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -13,6 +13,7 @@
 import { type CrashGuard } from './crashGuard';
 import { type DeliveryContext } from './deliveryContext';
 import { type IncomingCall } from './incomingCall';
+import { ALWAYS_VALID_KEYS, type KeyValidity } from './keyValidity';
 import { MemoryAccount } from './memoryAccount';
 import { type Placer } from './placer';
 import { type RunningAttempt } from './runningAttempt';
@@ -48,6 +49,8 @@
   readonly memory?: MemoryAccount;
   /** Bounds the connections to targets; by default they have no bound. */
   readonly connectionLimits?: ConnectionLimits;
+  /** Whether callers' keys may be used; by default always. */
+  readonly keys?: KeyValidity;
   /** Transmits a call to a target; by default over the connections of this host. */
   readonly transmit?: Transmit;
 }
@@ -75,6 +78,8 @@
 
   readonly stopDeadline: () => number;
 
+  readonly keys: KeyValidity;
+
   private readonly connections: ConnectionTable;
 
   private readonly startedAt: number;
@@ -95,6 +100,7 @@
     this.placer = parts.placer;
     this.crashes = parts.crashes;
     this.stopDeadline = parts.stopDeadline;
+    this.keys = parts.keys ?? ALWAYS_VALID_KEYS;
     this.connections = new ConnectionTable(
       parts.clock,
       {
@@ -193,6 +199,7 @@
 
   private withdrawal(call: IncomingCall, target: Target, isRated: boolean): string | null {
     if (call.deadline > this.stopDeadline()) return 'host is stopping';
+    if (call.tenant !== null && !this.keys.mayUseKeys()) return 'keys may not be used';
     if (this.crashes.isRefused(call)) return 'call crashes targets';
     return this.placer.admission.withdrawal(target, isRated);
   }
--- a/src/delivery/deliveryContext.ts
+++ b/src/delivery/deliveryContext.ts
@@ -6,6 +6,7 @@
 import { type AttemptResult } from './attemptResult';
 import { type CrashGuard } from './crashGuard';
 import { type IncomingCall } from './incomingCall';
+import { type KeyValidity } from './keyValidity';
 import { type Placer } from './placer';
 
 /** Services that the task of a call uses. */
@@ -18,6 +19,8 @@
   readonly crashes: CrashGuard;
   /** Monotonic time by which the last answer must be sent; Infinity unless the host is stopping. */
   readonly stopDeadline: () => number;
+  /** Whether callers' keys may be used. */
+  readonly keys: KeyValidity;
   /** Opens an attempt at a target of the catalog; `onEnd` is called once. */
   openAttempt(
     call: IncomingCall,
--- a/src/delivery/events.ts
+++ b/src/delivery/events.ts
@@ -23,6 +23,17 @@
     level: 'warn',
     message: 'connections of callers were turned away, because too many are open',
   },
+  sharedKey: {
+    number: 2211,
+    level: 'warn',
+    message: 'tenants have keys in common, which belong to the first of them',
+  },
+  tenantWithoutKeys: { number: 2212, level: 'warn', message: 'tenant has no keys' },
+  unmeetableLimit: {
+    number: 2213,
+    level: 'warn',
+    message: 'limit of a tenant cannot be met, since its burst allows no call',
+  },
   targetQuiet: {
     number: 2209,
     level: 'info',
--- a/src/delivery/index.ts
+++ b/src/delivery/index.ts
@@ -1,6 +1,7 @@
 export { type AnswerHead } from './answerHead';
 export { type AnswerMetadata, type TargetLoad } from './answerMetadata';
 export { type CallProtocol } from './callProtocol';
+export { type RoutedCall } from './readCall';
 export { type IncomingCall } from './incomingCall';
 export { type RunningAttempt } from './runningAttempt';
 export { type AttemptObserver } from './attemptObserver';
--- a/src/delivery/readCall.ts
+++ b/src/delivery/readCall.ts
@@ -45,7 +45,11 @@
     id,
     method: request.method!,
     path: request.url!,
-    headers: endToEndHeaders(request.rawHeaders, protocol),
+    headers: endToEndHeaders(
+      request.rawHeaders,
+      protocol,
+      catalog.tenants === null ? null : { tenant },
+    ),
     body,
     route,
     tenant,
--- a/standins/server/serverStandin.ts
+++ b/standins/server/serverStandin.ts
@@ -32,6 +32,13 @@
   readonly remainingMs: number;
 }
 
+/** The headers of a request that reached a server, whether it ran or not. */
+export interface ReceivedHeaders {
+  readonly id: string;
+  /** Names in lower case, in the order of their lines; a name may occur several times. */
+  readonly headers: readonly (readonly [name: string, value: string])[];
+}
+
 /** A request that reached a server, whether it ran or not; health checks are no arrivals. */
 export interface Arrival {
   readonly id: string;
@@ -60,6 +67,8 @@
 
   readonly arrivals: Arrival[] = [];
 
+  readonly received: ReceivedHeaders[] = [];
+
   mode: ServerMode = 'well';
 
   /** Header lines that are added to its answers, also to health checks. */
@@ -142,6 +151,7 @@
     }
     this.requestCount += 1;
     const callId = request.headers.get('request-id') ?? '';
+    this.received.push({ id: callId, headers: request.headerLines });
     const expectedInstance = request.headers.get('expected-instance');
     if (this.mode === 'other' || (expectedInstance !== undefined && expectedInstance !== id)) {
       this.recordArrival(callId, 'other');
--- a/standins/store/publishedValues.ts
+++ b/standins/store/publishedValues.ts
@@ -11,9 +11,20 @@
   readonly objectiveMs?: number;
   readonly priority?: number;
   readonly mostAttempts?: number;
+  /** Whether callers need no key. */
+  readonly isPublic?: boolean;
   readonly parts?: readonly { service: string; weight: number }[];
 }
 
+/** A tenant of a configuration published in the store stand-in; omitted fields are not written. */
+export interface PublishedTenant {
+  readonly name: string;
+  readonly keys?: readonly string[];
+  readonly priority?: number;
+  readonly callsPerSecond?: number;
+  readonly burst?: number;
+}
+
 /** Status and metadata of a server's entry in the store; omitted fields get defaults. */
 export interface PublishedEntry {
   readonly state?: string;
@@ -41,11 +52,21 @@
   };
 }
 
+function tenantTable(tenants: readonly PublishedTenant[]): unknown {
+  return {
+    columns: ['name', 'api_keys', 'priority', 'rate_per_s', 'burst'],
+    rows: tenants.map(({ name, keys, priority, callsPerSecond, burst }) => [
+      ...[name, keys ?? null, priority ?? null, callsPerSecond ?? null, burst ?? null],
+    ]),
+  };
+}
+
 /** Builds the value of a configuration, as the platform's key-value store holds it. */
 export function configurationValue(
   version: number,
   routes: readonly PublishedRoute[],
   limits: Readonly<Record<string, number>> = {},
+  tenants: readonly PublishedTenant[] | null = null,
 ): unknown {
   const services = [
     ...new Set(routes.flatMap((r) => r.parts?.map((part) => part.service) ?? [r.service])),
@@ -55,7 +76,7 @@
     routes: {
       columns: [
         ...['name', 'hostname', 'prefix', 'route_type', 'timeout_ms', 'target_latency_ms'],
-        ...['priority', 'service', 'max_attempts', 'weighted_backends'],
+        ...['priority', 'service', 'max_attempts', 'weighted_backends', 'public'],
       ],
       rows: routes.map((route) => [
         ...[`r${route.prefix}`, 'test.example', route.prefix],
@@ -64,6 +85,7 @@
         route.parts === undefined ? route.service : null,
         route.mostAttempts ?? 2,
         route.parts ?? null,
+        route.isPublic ?? null,
       ]),
     },
     services: {
@@ -78,5 +100,6 @@
       ...{ header_timeout_ms: 3000, idle_timeout_ms: 15000 },
       ...limits,
     },
+    ...(tenants === null ? {} : { tenants: tenantTable(tenants) }),
   };
 }
--- a/test/support/rawCaller.ts
+++ b/test/support/rawCaller.ts
@@ -43,7 +43,7 @@
     });
   }
 
-  write(text: string): void {
+  write(text: string | Buffer): void {
     this.socket.write(text);
   }
 
--- a/test/support/testPlatform.ts
+++ b/test/support/testPlatform.ts
@@ -14,6 +14,7 @@
   configurationValue,
   type PublishedEntry,
   type PublishedRoute,
+  type PublishedTenant,
   serverValue,
 } from '../../standins/store/publishedValues';
 import { StoreStandin } from '../../standins/store/storeStandin';
@@ -79,13 +80,14 @@
     this.store.put(`servers/${options.id}`, serverValue(service, options, address, entry));
   }
 
-  /** Publishes a configuration with the given routes and limits. */
+  /** Publishes a configuration with the given routes, limits and, if any, tenants. */
   configure(
     routes: readonly PublishedRoute[],
     limits: Readonly<Record<string, number>> = {},
+    tenants: readonly PublishedTenant[] | null = null,
   ): void {
     this.version += 3;
-    this.store.put('op/config', configurationValue(this.version, routes, limits));
+    this.store.put('op/config', configurationValue(this.version, routes, limits, tenants));
   }
 
   /** Starts the balancer and waits until it is ready, unless told not to. */
@@ -177,6 +179,10 @@
       id?: string;
       timeLeft?: number;
       hostName?: string;
+      /** Sent as `Authorization: Bearer KEY`. */
+      key?: string;
+      /** Further headers. */
+      headers?: Readonly<Record<string, string | readonly string[]>>;
       /** The caller closes its connection when this resolves. */
       leave?: Promise<void>;
     } = {},
@@ -191,6 +197,8 @@
             host: options.hostName ?? 'test.example',
             'request-id': options.id ?? `call-${this.callsSent}`,
             'deadline-ms': String(options.timeLeft ?? 2000),
+            ...(options.key === undefined ? {} : { authorization: `Bearer ${options.key}` }),
+            ...options.headers,
             ...(options.body === undefined ? {} : { 'content-length': options.body.length }),
           },
         },
