--- a/src/delivery/index.ts
+++ b/src/delivery/index.ts
@@ -1,6 +1,7 @@
 export { type AnswerHead } from './answerHead';
 export { type AnswerMetadata, type TargetLoad } from './answerMetadata';
 export { type CallProtocol } from './callProtocol';
+export { type RoutedCall } from './readCall';
 export { type IncomingCall } from './incomingCall';
 export { type RunningAttempt } from './runningAttempt';
 export { type AttemptObserver } from './attemptObserver';
@@ -20,5 +21,8 @@
 export { type ProbeParts } from './probeTask';
 export { WeightedRoundRobin } from './weightedRoundRobin';
 export { DELIVERY_EVENTS } from './events';
+export { type KeyValidity, ALWAYS_VALID_KEYS } from './keyValidity';
+export { type CallQuotas, UNLIMITED_QUOTAS } from './callQuotas';
+export { type QuotaDecision } from './quotaDecision';
 export { guardSocket } from './guardSocket';
 export { headFault } from './headFault';
