Add a clock that includes suspensions of the machine

The monotonic clock stands still while a machine is suspended, so that a deadline on it ends too late.

--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -1,6 +1,9 @@
 export { type Clock } from './clock';
 export { type Timer } from './timer';
 export { SystemClock } from './systemClock';
+export { before, type Moment } from './moment';
+export { SYSTEM_TIMES, type SystemTimes } from './systemTimes';
+export { SuspensionClock } from './suspensionClock';
 export { ManualClock } from './manualClock';
 export { waitUntil } from './waitUntil';
 export { EarliestTimer } from './earliestTimer';
--- /dev/null
+++ b/src/runtime/moment.ts
@@ -0,0 +1,15 @@
+/** A moment on each clock of this machine, in milliseconds; compared by `SuspensionClock` only. */
+export interface Moment {
+  readonly monotonicMs: number;
+  readonly timeOfDayMs: number;
+  readonly sinceBootMs: number;
+}
+
+/** The moment `milliseconds` before another one. */
+export function before(moment: Moment, milliseconds: number): Moment {
+  return {
+    monotonicMs: moment.monotonicMs - milliseconds,
+    timeOfDayMs: moment.timeOfDayMs - milliseconds,
+    sinceBootMs: moment.sinceBootMs - milliseconds,
+  };
+}
