Prove that the configuration of a host is the newest one

Cause: a host that is cut off, frozen or suspended, or that has an old answer of the store, does not know that a key was withdrawn. Change: module freshness. The reader of a zone confirms at the store every 0.8 s (CatalogSource.confirm, a watch that does not wait); the other hosts ask it every 0.7 s by datagram, then a neighbour and a host of another zone, and few of them confirm themselves when there is no recent proof. Nothing is sent or asked while the configuration has no tenants.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -16,6 +16,7 @@
   'source',
   'knowledge',
   'exchange',
+  'freshness',
   'placement',
   'peer',
   'fleet',
--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -2,7 +2,7 @@
 import { type CallServer } from '../delivery';
 import { EXCHANGE_EVENTS, UdpLink } from '../exchange';
 import { type Supervisor } from '../lifecycle';
-import { type CatalogReader } from '../source';
+import { type CatalogReader, type CatalogSource } from '../source';
 
 import { Addresses } from './addresses';
 import { type BalancerParts } from './balancerParts';
@@ -36,6 +36,8 @@
 
   private readonly reader: CatalogReader;
 
+  private readonly confirmationSource: CatalogSource;
+
   private readonly callPath: CallPath;
 
   /** Monotonic time by which the last answer must be sent; Infinity unless the host is stopping. */
@@ -44,7 +46,7 @@
   private hasLoggedReady = false;
 
   private constructor(private readonly parts: BalancerParts) {
-    const { clock, events } = parts;
+    const { clock, events, adapter, settings } = parts;
     const { ledger } = this;
     const tasks = superviseTasks(clock, events);
     this.tasks = tasks;
@@ -52,14 +54,17 @@
     this.link = new UdpLink((error) =>
       events.emit(EXCHANGE_EVENTS.linkError, { reason: error.message }),
     );
+    this.confirmationSource = adapter.openSource(settings.source, clock, events);
     this.knowledge = new FleetKnowledge(parts, {
       ...{ ledger, link: this.link, tasks, isStopping },
+      confirmationSource: this.confirmationSource,
       sourceState: () => this.reader.state(),
     });
     this.addresses = new Addresses({
       ...{ clock, events, tasks, onOpened: () => this.applyOpenedAddress() },
     });
-    this.reader = makeReader(parts, { ledger, exchange: this.knowledge.exchange, isStopping });
+    const { exchange, freshness } = this.knowledge;
+    this.reader = makeReader(parts, { ledger, exchange, freshness, isStopping });
     this.callPath = new CallPath(parts, {
       catalog: () => ledger.catalog(),
       tasks,
@@ -115,6 +120,11 @@
     lifecycle.own('probes', () => callPath.probes.close());
     knowledge.exchange.start();
     lifecycle.own('exchange', () => knowledge.exchange.close());
+    knowledge.freshness.start();
+    lifecycle.own('proofs', () => {
+      knowledge.freshness.close();
+      this.confirmationSource.close();
+    });
     void this.tasks.run('catalog reader', () => this.reader.run());
     lifecycle.own('catalog reader', () => this.reader.close());
     const { probes } = callPath;
@@ -129,6 +139,7 @@
       catalog: this.ledger.catalog(),
       hosts: exchange.membership.live(),
       source: { state: this.reader.state(), lastAnswerAt: this.reader.lastAnswerAt() },
+      proof: this.knowledge.freshness.state(),
       isReady: this.isReady(),
       waitingFor: this.addresses.waitingFor(),
     });
--- a/src/balancer/balancerParts.ts
+++ b/src/balancer/balancerParts.ts
@@ -1,7 +1,7 @@
 import { type Lifecycle } from '../lifecycle';
 import { type EventSink } from '../logging';
 import { type PrometheusSink } from '../metrics';
-import { type Clock, type Random } from '../runtime';
+import { type Clock, type Random, type SystemTimes } from '../runtime';
 import { type BalancerSettings } from '../settings';
 
 import { type BalancerAdapter } from './balancerAdapter';
@@ -13,6 +13,8 @@
   readonly currentSettings: () => BalancerSettings;
   readonly adapter: BalancerAdapter;
   readonly clock: Clock;
+  /** Clocks that also run while the machine is suspended. */
+  readonly systemTimes: SystemTimes;
   readonly random: Random;
   readonly events: EventSink;
   readonly metrics: PrometheusSink;
--- a/src/balancer/describeBalancer.ts
+++ b/src/balancer/describeBalancer.ts
@@ -1,5 +1,6 @@
 import { type Catalog } from '../catalog';
 import { type KnownHost } from '../exchange';
+import { type ProofState } from '../freshness';
 import { type TargetStatisticsTable, type TargetSubsets } from '../knowledge';
 import { type Clock } from '../runtime';
 import { type BalancerSettings } from '../settings';
@@ -14,6 +15,8 @@
   readonly subsets: TargetSubsets;
   readonly hosts: readonly KnownHost[];
   readonly source: { readonly state: SourceState; readonly lastAnswerAt: number };
+  /** Null while callers need no keys. */
+  readonly proof: ProofState | null;
   readonly isReady: boolean;
   /** Settings of the addresses that are not open yet. */
   readonly waitingFor: readonly string[];
@@ -28,8 +31,8 @@
  * milliseconds, null for what was never received.
  */
 export function describeBalancer(input: StatusInput) {
-  const { settings, clock, catalog, targetStates, subsets, hosts, source, isReady, waitingFor } =
-    input;
+  const { settings, clock, catalog, targetStates, subsets, hosts, source } = input;
+  const { proof, isReady, waitingFor } = input;
   const now = clock.now();
   return {
     host: settings['host-id'],
@@ -44,6 +47,7 @@
       zonesOut: [...catalog.zonesOut],
     },
     source: { state: source.state, lastAnswerAge: age(now, source.lastAnswerAt) },
+    proof,
     hosts: hosts.map((host) => ({
       id: host.id,
       zone: host.zone,
--- a/src/balancer/fleetKnowledge.ts
+++ b/src/balancer/fleetKnowledge.ts
@@ -1,5 +1,6 @@
 import { type Ledger } from '../catalog';
 import { Exchange, type HostAddress, type UdpLink } from '../exchange';
+import { Freshness } from '../freshness';
 import {
   identityKey,
   InFlightBroadcaster,
@@ -10,7 +11,8 @@
   TargetSubsets,
 } from '../knowledge';
 import { type Supervisor } from '../lifecycle';
-import { type SourceState } from '../source';
+import { SuspensionClock } from '../runtime';
+import { type CatalogSource, type SourceState } from '../source';
 import { CrashTable } from '../suspects';
 
 import { type BalancerParts } from './balancerParts';
@@ -25,6 +27,8 @@
   readonly link: UdpLink;
   readonly tasks: Supervisor;
   readonly sourceState: () => SourceState;
+  /** Connection to the source that is used for confirmations only. */
+  readonly confirmationSource: CatalogSource;
   readonly isStopping: () => boolean;
 }
 
@@ -36,6 +40,8 @@
 
   readonly exchange: Exchange;
 
+  readonly freshness: Freshness;
+
   readonly subsets: TargetSubsets;
 
   private readonly inFlightCounts: InFlightTable;
@@ -61,6 +67,7 @@
     this.targetConditions = new TargetConditionLog(clock, this.targetStates, events);
     this.crashTable = new CrashTable(clock);
     this.exchange = this.makeExchange();
+    this.freshness = this.makeFreshness();
     this.subsets = new TargetSubsets({
       hostId: settings['host-id'],
       zone: settings.zone,
@@ -129,12 +136,34 @@
     this.targetConditions.update(report.target);
   }
 
+  private ownAddress(): HostAddress {
+    const { settings } = this.parts;
+    const ip = ipOf(settings['control-address']);
+    return { id: settings['host-id'], zone: settings.zone, ip };
+  }
+
+  private makeFreshness(): Freshness {
+    const { clock, systemTimes, random, events, metrics, settings } = this.parts;
+    const { ledger, tasks, sourceState, confirmationSource } = this.sources;
+    const { exchange } = this;
+    return new Freshness({
+      ...{ clock, random, tasks, events, metrics, ledger, membership: exchange.membership },
+      suspensionClock: new SuspensionClock(clock, systemTimes),
+      self: this.ownAddress(),
+      source: confirmationSource,
+      isStrict: settings['strict-revocation'],
+      revocationMs: settings['revocation-ms'],
+      isReading: () => sourceState() === 'reading',
+      sendRequest: (hosts, token) => exchange.requestProof(hosts, token),
+      broadcastChanges: (changes) => exchange.broadcastChanges(changes),
+    });
+  }
+
   private makeExchange(): Exchange {
     const { clock, random, events, settings } = this.parts;
     const { ledger, link, tasks, sourceState, isStopping } = this.sources;
-    const ip = ipOf(settings['control-address']);
-    const ownHostKey = identityKey(ip);
-    const self: HostAddress = { id: settings['host-id'], zone: settings.zone, ip };
+    const self = this.ownAddress();
+    const ownHostKey = identityKey(self.ip);
     return new Exchange({
       ...{ clock, random, link, tasks, events, self, ledger, sourceState },
       zones: settings.zones,
@@ -157,6 +186,8 @@
         for (const count of others) this.inFlightCounts.apply(count);
         if (shouldRebroadcast) this.inFlightBroadcaster.rebroadcast(others);
       },
+      answerProofRequest: (token) => this.freshness.answerRequest(token),
+      onProofResponse: (response, fromIp) => this.freshness.receiveResponse(response, fromIp),
       notices: () => ({
         crashes: this.crashTable.histories(),
         leaving: this.targetStates.leavingTargets(),
--- a/src/balancer/makeReader.ts
+++ b/src/balancer/makeReader.ts
@@ -1,5 +1,6 @@
 import { type Ledger } from '../catalog';
 import { type Exchange } from '../exchange';
+import { type Freshness } from '../freshness';
 import { CatalogReader, mustRead, SOURCE_EVENTS } from '../source';
 
 import { type BalancerParts } from './balancerParts';
@@ -13,13 +14,14 @@
 export interface ReaderSinks {
   readonly ledger: Ledger;
   readonly exchange: Exchange;
+  readonly freshness: Freshness;
   readonly isStopping: () => boolean;
 }
 
 /** The reader of the source of the catalog; it reads while no other host of the zone does. */
 export function makeReader(
   { clock, random, events, settings, adapter, metrics }: BalancerParts,
-  { ledger, exchange, isStopping }: ReaderSinks,
+  { ledger, exchange, freshness, isStopping }: ReaderSinks,
 ): CatalogReader {
   const hostId = settings['host-id'];
   const startedAt = clock.now();
@@ -53,6 +55,7 @@
           });
       }
     },
+    onRequest: () => freshness.beginRequest(),
     onStateChange: () => exchange.announce(),
   });
 }
--- a/src/balancer/runBalancer.ts
+++ b/src/balancer/runBalancer.ts
@@ -2,7 +2,7 @@
 
 import { Lifecycle } from '../lifecycle';
 import { PrometheusSink } from '../metrics';
-import { type Clock, SeededRandom, SystemClock, waitUntil } from '../runtime';
+import { type Clock, SeededRandom, SYSTEM_TIMES, SystemClock, waitUntil } from '../runtime';
 import { BALANCER_SETTINGS, type BalancerSettings, helpText } from '../settings';
 
 import { Balancer } from './balancer';
@@ -89,6 +89,7 @@
   }
   const balancer = await Balancer.start({
     ...{ settings, adapter, clock, events: log, lifecycle },
+    systemTimes: SYSTEM_TIMES,
     random: new SeededRandom(seed),
     metrics: new PrometheusSink(),
     currentSettings: () => settings,
--- a/src/catalog/ledger.ts
+++ b/src/catalog/ledger.ts
@@ -25,6 +25,8 @@
 
   private newest = 0;
 
+  private heldConfigurationRevision = 0;
+
   /** Cached fingerprint; null after a change. */
   private currentFingerprint: number | null = null;
 
@@ -47,6 +49,11 @@
     return this.newest;
   }
 
+  /** Revision at which the configuration was last written, 0 without one. */
+  configurationRevision(): number {
+    return this.heldConfigurationRevision;
+  }
+
   /**
    * Sum of the hashes of the keys and revisions of the records above `asOf`, 0 without any. Hosts that are complete
    * up to the same revision hold the same records if their fingerprints are equal.
@@ -68,7 +75,9 @@
   apply(changes: CatalogChanges): readonly CatalogRecord[] {
     const newerRecords = changes.records.filter((record) => this.isNewer(record));
     for (const record of newerRecords) {
-      this.records.set(record.key, this.keepNewestConfiguration(record));
+      const kept = this.keepNewestConfiguration(record);
+      this.records.set(record.key, kept);
+      if (kept.fact?.kind === 'configuration') this.heldConfigurationRevision = kept.revision;
       this.newest = Math.max(this.newest, record.revision);
     }
     const droppedCount = changes.after === null ? this.dropMissing(changes) : 0;
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -12,7 +12,7 @@
 import { type HostAddress } from './hostAddress';
 import { Membership } from './membership';
 import { type HostView, MembershipGossip } from './membershipGossip';
-import { type Message, type ReportsMessage } from './message';
+import { type Message, type ProofResponse, type ReportsMessage } from './message';
 import { NoticeGossip } from './noticeGossip';
 import { type Notices } from './notices';
 import { OtherZones } from './otherZones';
@@ -43,6 +43,9 @@
   readonly notices: () => Notices;
   /** Applies notices; returns those that were news. */
   readonly onNotices: (notices: Notices) => Notices;
+  /** The proof of this host for a request with this token; null when it has none. */
+  readonly answerProofRequest: (token: number) => ProofResponse | null;
+  readonly onProofResponse: (response: ProofResponse, fromIp: string) => void;
 }
 
 type MessageHandlers = {
@@ -100,6 +103,11 @@
       if (message.isRepeated) this.noticeGossip.passOn(news);
       if (message.shouldRebroadcast) this.rebroadcast({ ...message, shouldRebroadcast: false });
     },
+    proofRequest: ({ token }, fromIp) => {
+      const response = this.parts.answerProofRequest(token);
+      if (response !== null) this.send([fromIp], response);
+    },
+    proofResponse: (response, fromIp) => this.parts.onProofResponse(response, fromIp),
   };
 
   constructor(private readonly parts: ExchangeParts) {
@@ -195,6 +203,11 @@
     this.sendTo(this.otherZones.choose('notices'), { ...message, shouldRebroadcast: true });
   }
 
+  /** Asks hosts for their newest proof; the responses repeat the token. */
+  requestProof(hosts: readonly HostAddress[], token: number): void {
+    this.sendTo(hosts, { kind: 'proofRequest', token });
+  }
+
   private receive(bytes: Buffer, fromIp: string): void {
     const message = decodeMessage(bytes);
     if (message === null) {
--- a/src/exchange/message.ts
+++ b/src/exchange/message.ts
@@ -83,6 +83,30 @@
   readonly isRepeated?: boolean;
 }
 
+/** Asks for the newest proof that the receiver holds. */
+export interface ProofRequest {
+  readonly kind: 'proofRequest';
+  /** Stands for the moment of the request; the response repeats it. */
+  readonly token: number;
+}
+
+/** A proof of the sender, in response to a `ProofRequest`. */
+export interface ProofResponse {
+  readonly kind: 'proofResponse';
+  readonly token: number;
+  /** Revision of the configuration that was the newest one. */
+  readonly revision: number;
+  /** Age of the proof when the response was sent, in milliseconds, rounded up. */
+  readonly ageMs: number;
+}
+
 /** Any message between hosts. */
 export type Message =
-  Heartbeat | Digest | ReportsMessage | InFlightCountsMessage | ChangesMessage | NoticesMessage;
+  | Heartbeat
+  | Digest
+  | ReportsMessage
+  | InFlightCountsMessage
+  | ChangesMessage
+  | NoticesMessage
+  | ProofRequest
+  | ProofResponse;
--- a/src/exchange/packedCodec.ts
+++ b/src/exchange/packedCodec.ts
@@ -7,16 +7,21 @@
   type Digest,
   type Heartbeat,
   type InFlightCountsMessage,
+  type ProofRequest,
+  type ProofResponse,
   type ReportsMessage,
 } from './message';
 import { type MessageCodec } from './messageCodec';
+import { PROOF_REQUEST_CODEC } from './proofRequestCodec';
+import { PROOF_RESPONSE_CODEC } from './proofResponseCodec';
 import { REPORTS_CODEC } from './reportsCodec';
 
 /**
  * Messages in a binary encoding, as some hundred are sent each second; in JSON, ids and brackets
  * took 5/6 of their bytes.
  */
-export type PackedMessage = Digest | Heartbeat | InFlightCountsMessage | ReportsMessage;
+export type PackedMessage =
+  Digest | Heartbeat | InFlightCountsMessage | ReportsMessage | ProofRequest | ProofResponse;
 
 type PackedCodecs = {
   readonly [Name in PackedMessage['kind']]: MessageCodec<Extract<PackedMessage, { kind: Name }>>;
@@ -28,6 +33,8 @@
   reports: REPORTS_CODEC,
   digest: DIGEST_CODEC,
   heartbeat: HEARTBEAT_CODEC,
+  proofRequest: PROOF_REQUEST_CODEC,
+  proofResponse: PROOF_RESPONSE_CODEC,
 };
 
 // The first byte has two flags in its lowest bits and then the tag.
--- a/src/exchange/stateCodec.ts
+++ b/src/exchange/stateCodec.ts
@@ -3,6 +3,7 @@
 import { type SourceState } from '../source';
 
 import { type HostState } from './message';
+import { readRevision } from './readRevision';
 
 // The index of a state is its value on the wire.
 const SOURCE_STATES: readonly SourceState[] = ['idle', 'reading', 'failing'];
@@ -14,12 +15,6 @@
 const HAS_NEWER_RECORDS = 8;
 const EXTRA_FLAGS = 16;
 
-function readRevision(reader: BinaryReader): number {
-  const revision = Number(reader.uint64());
-  if (!Number.isSafeInteger(revision)) throw new RangeError('revision is out of range');
-  return revision;
-}
-
 /** Writes the state of a host and `extraFlags`, a number below 8. */
 export function writeState(writer: BinaryWriter, state: HostState, extraFlags: number): void {
   const hasNewerRecords = state.newest !== state.asOf || state.fingerprint !== 0;
--- /dev/null
+++ b/src/freshness/freshness.ts
@@ -0,0 +1,238 @@
+import { type CatalogChanges, type Ledger } from '../catalog';
+import { type HostAddress, type Membership, type ProofResponse } from '../exchange';
+import { type Supervisor } from '../lifecycle';
+import { type EventSink } from '../logging';
+import { type MetricsSink } from '../metrics';
+import {
+  before,
+  type Clock,
+  type Moment,
+  type Random,
+  runEvery,
+  type SuspensionClock,
+} from '../runtime';
+import { type CatalogSource } from '../source';
+
+import { ExpiryLog } from './expiryLog';
+import { type KeyValidity } from './keyValidity';
+import { FRESHNESS_METRICS } from './metrics';
+import { ProofRounds } from './proofRounds';
+import { ProofSources } from './proofSources';
+import { ProofTable } from './proofTable';
+import { StoreConfirmer } from './storeConfirmer';
+import { StoreTurns } from './storeTurns';
+
+const TICK_MS = 50;
+// Keys are used this much shorter than allowed, for what the clocks and timers of a host are off.
+const SAFETY_MARGIN_MS = 200;
+// The host that reads the store for its zone confirms this often. Together with the interval of the
+// requests, the proofs of the others stay younger than 2 s; at least every 1.0 s is required.
+const CONFIRM_INTERVAL_MS = 800;
+// The reader asks other hosts too when its own confirmations stay away.
+const READER_REQUEST_AGE_MS = 1200;
+// An older proof shows that neither the reader nor other hosts have a newer one.
+const STORE_TURN_AGE_MS = 2200;
+// A host that has started gets its first proof from another host within this time.
+const FIRST_PROOF_WAIT_MS = 300;
+const MIN_EXTRA_CONFIRM_INTERVAL_MS = 200;
+// Older proofs are of no use to other hosts.
+const MAX_PASSED_ON_AGE_MS = 60_000;
+const SHORT_RETRY_AFTER_MS = 250;
+const LONG_RETRY_AFTER_MS = 1000;
+// Beyond this time without a proof the next one depends on the store's return.
+const SHORT_EXPIRY_MS = 2000;
+
+/** Dependencies of `Freshness`. */
+export interface FreshnessParts {
+  readonly clock: Clock;
+  readonly suspensionClock: SuspensionClock;
+  readonly random: Random;
+  readonly tasks: Supervisor;
+  readonly events: EventSink;
+  readonly metrics: MetricsSink;
+  readonly self: HostAddress;
+  readonly ledger: Ledger;
+  readonly source: Pick<CatalogSource, 'confirm'>;
+  readonly membership: Pick<Membership, 'neighbours' | 'live'>;
+  /** Whether keys may not be used later than `revocationMs` after their withdrawal. */
+  readonly isStrict: boolean;
+  readonly revocationMs: number;
+  /** Whether this host reads the store for its zone. */
+  readonly isReading: () => boolean;
+  readonly sendRequest: (hosts: readonly HostAddress[], token: number) => void;
+  readonly broadcastChanges: (changes: CatalogChanges) => void;
+}
+
+/** How long a host may use its proof, in milliseconds; `ageMs` is null without a proof. */
+export interface ProofState {
+  readonly ageMs: number | null;
+  /** Time left until the deadline for the use of keys, 0 when it has passed. */
+  readonly leftMs: number;
+  readonly mayUseKeys: boolean;
+}
+
+/** Keeps the proof that the configuration of this host is the newest one, and asks for it. */
+export class Freshness implements KeyValidity {
+  private readonly proofs: ProofTable;
+
+  private readonly rounds: ProofRounds;
+
+  private readonly sources: ProofSources;
+
+  private readonly confirmer: StoreConfirmer;
+
+  private readonly storeTurns: StoreTurns;
+
+  private readonly expiryLog: ExpiryLog;
+
+  /** Since when keys have been needed; null while the configuration has no tenants. */
+  private neededSince: Moment | null = null;
+
+  private isConfirming = false;
+
+  private cancelTimer: () => void = () => {};
+
+  constructor(private readonly parts: FreshnessParts) {
+    const { clock, suspensionClock, random, ledger, source, metrics, events } = parts;
+    this.proofs = new ProofTable(suspensionClock, () => ledger.configurationRevision());
+    this.sources = new ProofSources(parts);
+    this.rounds = new ProofRounds({
+      ...{ clock, suspensionClock, random, sources: this.sources },
+      send: (hosts, token) => {
+        metrics.increment(FRESHNESS_METRICS.requests, hosts.length);
+        parts.sendRequest(hosts, token);
+      },
+    });
+    this.confirmer = new StoreConfirmer({
+      ...{ clock, suspensionClock, random, ledger, source },
+      onProof: (proof) => this.proofs.add(proof),
+      onChanges: (changes) => parts.broadcastChanges(changes),
+      onEnd: (outcome) => metrics.increment(FRESHNESS_METRICS.confirmations, 1, { outcome }),
+    });
+    this.storeTurns = new StoreTurns(random);
+    this.expiryLog = new ExpiryLog(events, parts.isStrict);
+  }
+
+  /** Starts to keep the proof. */
+  start(): void {
+    this.cancelTimer = runEvery(this.parts.clock, TICK_MS, () => this.refresh());
+    // A host that gets its first tenants has no proof that applies to them.
+    this.parts.ledger.onChange(() => this.refresh());
+  }
+
+  /** Stops asking for proofs. */
+  close(): void {
+    this.cancelTimer();
+  }
+
+  mayUseKeys(): boolean {
+    if (!this.parts.isStrict || this.parts.ledger.catalog().tenants === null) return true;
+    return this.leftMs(this.proofs.ageMs()) > 0;
+  }
+
+  proofAgeMs(): number {
+    return this.proofs.ageMs();
+  }
+
+  requestProof(): void {
+    if (this.neededSince === null) return;
+    this.rounds.askAllNow();
+    const { clock, isReading } = this.parts;
+    const mayConfirm =
+      clock.now() >= this.confirmer.lastStartAt() + MIN_EXTRA_CONFIRM_INTERVAL_MS &&
+      this.confirmer.mayStart();
+    if (isReading() && mayConfirm) this.confirm();
+  }
+
+  retryAfterMs(): number {
+    const expiredMs = this.missingMs(this.proofs.ageMs()) - this.parts.revocationMs;
+    return expiredMs < SHORT_EXPIRY_MS ? SHORT_RETRY_AFTER_MS : LONG_RETRY_AFTER_MS;
+  }
+
+  /** What operators see; null while the configuration has no tenants. */
+  state(): ProofState | null {
+    if (this.parts.ledger.catalog().tenants === null) return null;
+    const ageMs = this.proofs.ageMs();
+    return {
+      ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : null,
+      leftMs: Math.round(Math.max(0, this.leftMs(ageMs))),
+      mayUseKeys: this.mayUseKeys(),
+    };
+  }
+
+  /** Notes the start of a request for the catalog; call the result with what was applied of it. */
+  beginRequest(): (changes: CatalogChanges) => void {
+    const { suspensionClock, ledger } = this.parts;
+    const moment = suspensionClock.now();
+    const newestBefore = ledger.newestRevision();
+    return ({ asOf }) => {
+      const revision = ledger.configurationRevision();
+      if (asOf >= newestBefore && revision > 0) this.proofs.add({ revision, moment });
+    };
+  }
+
+  /** The response to a request of another host; null without a proof that can be of use to it. */
+  answerRequest(token: number): ProofResponse | null {
+    const proof = this.proofs.current();
+    if (proof === null) return null;
+    const ageMs = Math.ceil(this.parts.suspensionClock.elapsedSince(proof.moment));
+    if (ageMs > MAX_PASSED_ON_AGE_MS) return null;
+    return { kind: 'proofResponse', token, revision: proof.revision, ageMs };
+  }
+
+  /** Uses the response of another host. */
+  receiveResponse({ token, revision, ageMs }: ProofResponse, fromIp: string): void {
+    const requestedAt = this.rounds.momentOf(token, fromIp);
+    if (requestedAt === null) return;
+    this.proofs.add({ revision, moment: before(requestedAt, ageMs) });
+    this.rounds.noteResponse(fromIp, this.proofs.ageMs());
+  }
+
+  private refresh(): void {
+    const { ledger, suspensionClock, metrics, isReading } = this.parts;
+    if (ledger.catalog().tenants === null) {
+      this.neededSince = null;
+      return;
+    }
+    this.neededSince ??= suspensionClock.now();
+    const ageMs = this.proofs.ageMs();
+    if (Number.isFinite(ageMs)) metrics.gauge(FRESHNESS_METRICS.proofAge, ageMs);
+    this.expiryLog.update(this.leftMs(this.missingMs(ageMs)) <= 0, ageMs);
+    if (this.isConfirmationDue(ageMs)) this.confirm();
+    if (!isReading() || ageMs > READER_REQUEST_AGE_MS) this.rounds.askIfDue();
+  }
+
+  private isConfirmationDue(ageMs: number): boolean {
+    const { clock, isReading } = this.parts;
+    const now = clock.now();
+    if (!this.confirmer.mayStart()) return false;
+    if (isReading()) return now >= this.confirmer.lastStartAt() + CONFIRM_INTERVAL_MS;
+    const missingMs = this.missingMs(ageMs);
+    const waitMs = Number.isFinite(ageMs) ? STORE_TURN_AGE_MS : FIRST_PROOF_WAIT_MS;
+    if (missingMs < waitMs) return false;
+    return this.storeTurns.isDue(now, missingMs, this.sources.zoneSize());
+  }
+
+  // After an unexpected error the supervisor calls again, so that no further call may start meanwhile.
+  private confirm(): void {
+    if (this.isConfirming) return;
+    this.isConfirming = true;
+    void this.parts.tasks
+      .run('confirming the configuration', () => this.confirmer.confirm())
+      .finally(() => {
+        this.isConfirming = false;
+      });
+  }
+
+  /** Age of the proof; before the first one, the time for which one has been needed. */
+  private missingMs(ageMs: number): number {
+    if (Number.isFinite(ageMs)) return ageMs;
+    return this.neededSince === null
+      ? 0
+      : this.parts.suspensionClock.elapsedSince(this.neededSince);
+  }
+
+  private leftMs(ageMs: number): number {
+    return this.parts.revocationMs - SAFETY_MARGIN_MS - ageMs;
+  }
+}
--- /dev/null
+++ b/src/freshness/proofRounds.ts
@@ -0,0 +1,90 @@
+import { type HostAddress } from '../exchange';
+import { type Clock, type Moment, type Random, type SuspensionClock } from '../runtime';
+
+import { type ProofSources } from './proofSources';
+import { RequestTokens } from './requestTokens';
+
+const ROUND_INTERVAL_MS = 700;
+// While the reader does not answer, proofs of other hosts are older than its own would be.
+const SHORT_ROUND_INTERVAL_MS = 500;
+const RESPONSE_TIMEOUT_MS = 150;
+// A round ends with a proof that stays younger than 2 s until the end of the next one.
+const GOOD_AGE_MS = 1200;
+// After some attempts other hosts have no newer proof either, and are asked less often.
+const QUICK_ATTEMPTS = 5;
+const SLOW_ATTEMPT_INTERVAL_MS = 300;
+const MIN_EXTRA_INTERVAL_MS = 100;
+
+/** Dependencies of `ProofRounds`. */
+export interface ProofRoundsParts {
+  readonly clock: Clock;
+  readonly suspensionClock: SuspensionClock;
+  readonly random: Random;
+  readonly sources: Pick<ProofSources, 'reader' | 'others'>;
+  readonly send: (hosts: readonly HostAddress[], token: number) => void;
+}
+
+/**
+ * Asks other hosts for proofs in rounds: first the reader of the zone, then a neighbour and a host of
+ * another zone at a time, until a proof is young enough.
+ */
+export class ProofRounds {
+  private readonly tokens: RequestTokens;
+
+  private attempts = 0;
+
+  private nextAttemptAt = -Infinity;
+
+  private lastAttemptAt = -Infinity;
+
+  private readerIp: string | null = null;
+
+  private hasReaderAnswered = true;
+
+  constructor(private readonly parts: ProofRoundsParts) {
+    const { clock, suspensionClock, random } = parts;
+    this.tokens = new RequestTokens(clock, suspensionClock, random);
+  }
+
+  /** Asks when the next round or the next attempt of this one is due. */
+  askIfDue(): void {
+    if (this.parts.clock.now() >= this.nextAttemptAt) this.ask(this.attempts > 0);
+  }
+
+  /** Asks the reader and others now, unless hosts have just been asked. */
+  askAllNow(): void {
+    if (this.parts.clock.now() >= this.lastAttemptAt + MIN_EXTRA_INTERVAL_MS) this.ask(true);
+  }
+
+  /** The moment of the request that a host answers; null when it was not asked. */
+  momentOf(token: number, fromIp: string): Moment | null {
+    return this.tokens.momentOf(token, fromIp);
+  }
+
+  /** Notes a response of a host, after which the proof has this age. */
+  noteResponse(fromIp: string, ageMs: number): void {
+    if (fromIp === this.readerIp) this.hasReaderAnswered = true;
+    if (ageMs > GOOD_AGE_MS || this.attempts === 0) return;
+    this.attempts = 0;
+    const intervalMs = this.hasReaderAnswered ? ROUND_INTERVAL_MS : SHORT_ROUND_INTERVAL_MS;
+    this.nextAttemptAt = this.lastAttemptAt + intervalMs;
+  }
+
+  private ask(mayAskOthers: boolean): void {
+    const { clock, sources, send } = this.parts;
+    const now = clock.now();
+    const reader = sources.reader();
+    const readerIp = reader[0]?.ip ?? null;
+    const isSameReader = readerIp === this.readerIp;
+    const isReaderSilent = readerIp === null || (isSameReader && !this.hasReaderAnswered);
+    const others = mayAskOthers || isReaderSilent ? sources.others() : [];
+    const hosts = [...new Map([...reader, ...others].map((host) => [host.ip, host])).values()];
+    if (this.attempts === 0 || !isSameReader) this.hasReaderAnswered = false;
+    this.readerIp = readerIp;
+    this.attempts += 1;
+    this.lastAttemptAt = now;
+    const isQuick = this.attempts <= QUICK_ATTEMPTS;
+    this.nextAttemptAt = now + (isQuick ? RESPONSE_TIMEOUT_MS : SLOW_ATTEMPT_INTERVAL_MS);
+    if (hosts.length > 0) send(hosts, this.tokens.issue(hosts.map(({ ip }) => ip)));
+  }
+}
--- a/src/source/catalogReader.ts
+++ b/src/source/catalogReader.ts
@@ -35,6 +35,11 @@
   readonly mustRead: () => boolean;
   /** Called with each set of changes; `newerRecords` are those new to the ledger. */
   readonly onChanges: (changes: CatalogChanges, newerRecords: readonly CatalogRecord[]) => void;
+  /**
+   * Called when a request begins; the result is called once its answer was applied. Between the two
+   * the catalog was read as it was then.
+   */
+  readonly onRequest?: () => (changes: CatalogChanges) => void;
   /** Called when `state` has changed. */
   readonly onStateChange: () => void;
 }
@@ -95,9 +100,10 @@
         await waitUntil(clock, clock.now() + IDLE_RECHECK_MS);
         continue;
       }
+      const onApplied = this.parts.onRequest?.();
       const result = await this.readOnce();
       if (this.isClosed) return;
-      if (result.ok) await this.applyOrReport(result.val);
+      if (result.ok) await this.applyOrReport(result.val, onApplied);
       else await this.handleFailure(result.val);
     }
   }
@@ -139,9 +145,12 @@
   }
 
   // An unexpected error while changes are applied must not end the task for good.
-  private async applyOrReport(changes: CatalogChanges): Promise<void> {
+  private async applyOrReport(
+    changes: CatalogChanges,
+    onApplied: ((applied: CatalogChanges) => void) | undefined,
+  ): Promise<void> {
     try {
-      await this.applyChanges(changes);
+      await this.applyChanges(changes, onApplied);
     } catch (error) {
       // The revision was noted as read, but its records may not have been applied.
       this.hasRead = false;
@@ -149,7 +158,10 @@
     }
   }
 
-  private async applyChanges(changes: CatalogChanges): Promise<void> {
+  private async applyChanges(
+    changes: CatalogChanges,
+    onApplied: ((applied: CatalogChanges) => void) | undefined,
+  ): Promise<void> {
     const { clock, ledger } = this.parts;
     this.answeredAt = clock.now();
     this.hasRead = true;
@@ -161,6 +173,7 @@
     this.setState('reading');
     const completeBefore = ledger.catalog().asOf;
     const newerRecords = ledger.apply(this.withholdUncertainDeletions(changes));
+    onApplied?.(changes);
     // Includes records that were sent while deletions before them were withheld: a host that missed
     // one of those is not complete up to the new revision without it.
     this.parts.onChanges(ledger.changesAfter(completeBefore), newerRecords);
--- a/src/source/index.ts
+++ b/src/source/index.ts
@@ -1,8 +1,10 @@
 export { type CatalogSource } from './catalogSource';
+export { type Confirmation } from './confirmation';
 export { type SourceError } from './sourceError';
 export { type SourceState } from './sourceState';
 export { CatalogReader, type CatalogReaderParts } from './catalogReader';
 export { type SourceReport } from './sourceReport';
 export { isZoneReader } from './isZoneReader';
+export { zoneReaderOrder } from './zoneReaderOrder';
 export { mustRead, type ReadingConditions } from './mustRead';
 export { SOURCE_EVENTS } from './events';
--- a/src/source/isZoneReader.ts
+++ b/src/source/isZoneReader.ts
@@ -1,6 +1,5 @@
-import { rendezvousOrder } from '../runtime';
-
 import { type SourceReport } from './sourceReport';
+import { zoneReaderOrder } from './zoneReaderOrder';
 
 /**
  * Whether `hostId` reads the catalog for its zone. The first live host by rendezvous hashing reads,
@@ -8,16 +7,5 @@
  * reject some hosts.
  */
 export function isZoneReader(hostId: string, reports: readonly SourceReport[]): boolean {
-  const failing = new Set(
-    reports.filter((report) => report.state === 'failing').map((report) => report.hostId),
-  );
-  const order = rendezvousOrder('catalog reader', [
-    hostId,
-    ...reports.map((report) => report.hostId),
-  ]);
-  for (const candidate of order) {
-    if (candidate === hostId) return true;
-    if (!failing.has(candidate)) return false;
-  }
-  return true;
+  return zoneReaderOrder(hostId, reports)[0] === hostId;
 }
--- a/test/exchange/simulatedFleet.ts
+++ b/test/exchange/simulatedFleet.ts
@@ -1,4 +1,4 @@
-import { type CatalogFact } from '../../src/catalog';
+import { type CatalogFact, type Tenant } from '../../src/catalog';
 import { ManualClock, SeededRandom } from '../../src/runtime';
 
 import { SimulatedHosts } from './simulatedHosts';
@@ -7,7 +7,11 @@
 const ZONES = ['a', 'b', 'c', 'd', 'e'];
 const TARGETS = 60;
 
-function configuration(version: number): CatalogFact {
+const TENANT: Tenant = {
+  ...{ name: 'tenant', keyDigests: ['0'], priority: null, callsPerSecond: 0, burst: 0 },
+};
+
+function configuration(version: number, tenants: readonly Tenant[] | null): CatalogFact {
   const routes = Array.from({ length: 40 }, (_, index) => ({
     name: `route-${index}`,
     hostName: 'calls.example',
@@ -23,7 +27,7 @@
   const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
   return {
     kind: 'configuration',
-    configuration: { version, routes, services: [], limits, tenants: null },
+    configuration: { version, routes, services: [], limits, tenants },
   };
 }
 
@@ -43,7 +47,12 @@
 
   readonly random: SeededRandom;
 
-  constructor(size: number, zoneCount: number, seed: number) {
+  constructor(
+    size: number,
+    zoneCount: number,
+    seed: number,
+    private readonly hasTenants = false,
+  ) {
     this.random = new SeededRandom(seed);
     this.source = new SimulatedSource(this.clock);
     const zones = ZONES.slice(0, zoneCount);
@@ -62,7 +71,7 @@
   }
 
   publishConfiguration(version: number): void {
-    this.source.publish('configuration', configuration(version));
+    this.source.publish('configuration', configuration(version, this.hasTenants ? [TENANT] : null));
   }
 
   changeTarget(index: number): void {
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -5,6 +5,7 @@
   type ExchangeParts,
   type HostAddress,
 } from '../../src/exchange';
+import { Freshness } from '../../src/freshness';
 import {
   InFlightBroadcaster,
   InFlightTable,
@@ -13,11 +14,18 @@
   TargetStatisticsTable,
 } from '../../src/knowledge';
 import { Supervisor } from '../../src/lifecycle';
-import { type ManualClock, type Random, SeededRandom, waitUntil } from '../../src/runtime';
+import { SilentSink } from '../../src/metrics';
+import {
+  type ManualClock,
+  type Random,
+  SeededRandom,
+  SuspensionClock,
+  waitUntil,
+} from '../../src/runtime';
 import { CatalogReader, mustRead } from '../../src/source';
 import { CrashTable } from '../../src/suspects';
 
-import { type SimulatedSource } from './simulatedSource';
+import { SimulatedSource } from './simulatedSource';
 
 // A pull that takes longer than this fails.
 const PULL_TIMEOUT_MS = 600;
@@ -32,6 +40,7 @@
   readonly exchange: Exchange;
   readonly reports: TargetReport[];
   readonly reader: CatalogReader | null;
+  readonly freshness: Freshness;
   readonly inFlightTable: InFlightTable;
   readonly crashTable: CrashTable;
   readonly targetStates: TargetStatisticsTable;
@@ -93,6 +102,7 @@
   /** Starts a host, or restarts it without its previous state. */
   start(id: string, zone: string, ip: string, isFirstStart = true): SimulatedHost {
     this.hosts.get(id)?.exchange.close();
+    this.hosts.get(id)?.freshness.close();
     this.hosts.get(id)?.reader?.close();
     this.nextIncarnation += 1;
     const address = { id, zone, ip };
@@ -133,6 +143,9 @@
         for (const count of counts) inFlightTable.apply(count);
         if (shouldRebroadcast) inFlightBroadcaster.rebroadcast(counts);
       },
+      answerProofRequest: (token) => this.hosts.get(id)!.freshness.answerRequest(token),
+      onProofResponse: (response, fromIp) =>
+        this.hosts.get(id)!.freshness.receiveResponse(response, fromIp),
       notices: () => ({
         crashes: crashTable.histories(),
         leaving: targetStates.leavingTargets(),
@@ -142,8 +155,10 @@
         leaving: leaving.filter((target) => targetStates.recordLeaving(target)),
       }),
     });
+    const freshness = this.makeFreshness(address, ledger, exchange);
     const host: SimulatedHost = {
       address,
+      freshness,
       inFlightTable,
       inFlightBroadcaster,
       crashTable,
@@ -151,7 +166,7 @@
       ledger,
       exchange,
       reports,
-      reader: this.makeReader(id, ledger, exchange, isFirstStart),
+      reader: this.makeReader(id, ledger, exchange, freshness, isFirstStart),
       sentBytes: 0,
       sentDatagrams: 0,
       isDown: false,
@@ -160,6 +175,7 @@
     this.hosts.set(id, host);
     this.hostsByIp.set(ip, host);
     exchange.start();
+    freshness.start();
     void host.reader?.run();
     return host;
   }
@@ -169,6 +185,7 @@
     const host = this.hosts.get(id)!;
     host.isDown = true;
     host.exchange.close();
+    host.freshness.close();
     host.reader?.close();
   }
 
@@ -191,10 +208,30 @@
     return new Exchange({ ...parts, ...this.makeDecisions(parts.self, parts.ledger, exchange) });
   }
 
+  private makeFreshness(self: HostAddress, ledger: Ledger, exchange: Exchange): Freshness {
+    const { clock, source } = this;
+    const time = () => clock.now();
+    return new Freshness({
+      ...{ clock, self, ledger, membership: exchange.membership },
+      suspensionClock: new SuspensionClock(clock, { timeOfDay: time, sinceBoot: time }),
+      random: new SeededRandom(this.nextIncarnation + 1_000_000),
+      tasks: new Supervisor(clock, () => {}),
+      events: { emit: () => {} },
+      metrics: new SilentSink(),
+      source: (source ?? new SimulatedSource(clock)).connect(self.id),
+      isStrict: true,
+      revocationMs: 5000,
+      isReading: () => this.hosts.get(self.id)?.reader?.state() === 'reading',
+      sendRequest: (hosts, token) => exchange.requestProof(hosts, token),
+      broadcastChanges: (changes) => exchange.broadcastChanges(changes),
+    });
+  }
+
   private makeReader(
     id: string,
     ledger: Ledger,
     exchange: Exchange,
+    freshness: Freshness,
     isFirstStart: boolean,
   ): CatalogReader | null {
     if (this.source === null) return null;
@@ -214,6 +251,7 @@
             .map((host) => ({ hostId: host.id, state: host.source })),
         }),
       onChanges: (changes) => exchange.broadcastChanges(changes),
+      onRequest: () => freshness.beginRequest(),
       onStateChange: () => exchange.announce(),
     });
   }
--- a/test/exchange/simulatedSource.ts
+++ b/test/exchange/simulatedSource.ts
@@ -16,6 +16,9 @@
 
   requests = 0;
 
+  /** Those of the requests that only ask whether the configuration is the newest one. */
+  confirmations = 0;
+
   private revision = 0;
 
   /** Oldest revision after which changes can be watched. */
@@ -61,6 +64,15 @@
           records: this.changedAfter(after),
         }));
       },
+      confirm: async (after, deadline) => {
+        this.confirmations += 1;
+        const answer = await this.answer(host, deadline, connection.signal, () => ({
+          after,
+          asOf: this.revision,
+          records: this.changedAfter(after).filter(({ key }) => key === 'configuration'),
+        }));
+        return answer;
+      },
       close: () => {
         connection.abort();
         connection = new AbortController();
--- a/test/support/testPlatform.ts
+++ b/test/support/testPlatform.ts
@@ -6,7 +6,7 @@
 import { Lifecycle } from '../../src/lifecycle';
 import { type EventDefinition, type EventFields } from '../../src/logging';
 import { PrometheusSink } from '../../src/metrics';
-import { SeededRandom, SystemClock } from '../../src/runtime';
+import { SeededRandom, SYSTEM_TIMES, SystemClock } from '../../src/runtime';
 import { BALANCER_SETTINGS, readSettings } from '../../src/settings';
 import { freePort } from '../../standins';
 import { type ServerOptions, ServerStandin } from '../../standins/server/serverStandin';
@@ -130,6 +130,7 @@
         openSource: (address, clock) => new Store(address, clock),
       },
       clock: new SystemClock(),
+      systemTimes: SYSTEM_TIMES,
       random: new SeededRandom(options.seed ?? 1),
       events: {
         emit: (event: EventDefinition, fields: EventFields = {}) =>
