Limit the calls of tenants over all hosts

Cause: a tenant's limit holds for all hosts together, and the share of one of 129 hosts is far below one call.

Change: the module quota has one owner for each tenant, which grants calls from a token bucket. Other hosts ask it with a datagram of 10 bytes; a host that is not the owner names the owner, as hosts know only some hosts of large other zones. When the owner does not answer, a substitute of another zone grants calls at 0.15 of the rate, and hosts use a small reserve. An owner that has just become one has the same low rate for a window, unless its predecessor has stopped granting. The balancer assembles it and shows the owned quotas in its status; the path of a call does not ask it yet.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -17,6 +17,7 @@
   'knowledge',
   'exchange',
   'placement',
+  'quota',
   'peer',
   'fleet',
   'outcomes',
--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -2,6 +2,7 @@
 import { type CallServer } from '../delivery';
 import { EXCHANGE_EVENTS, UdpLink } from '../exchange';
 import { type Supervisor } from '../lifecycle';
+import { type Quotas } from '../quota';
 import { type CatalogReader } from '../source';
 
 import { Addresses } from './addresses';
@@ -10,6 +11,7 @@
 import { describeBalancer } from './describeBalancer';
 import { BALANCER_EVENTS } from './events';
 import { FleetKnowledge } from './fleetKnowledge';
+import { makeQuotas } from './makeQuotas';
 import { makeReader } from './makeReader';
 import { openAddresses } from './openAddresses';
 import { startTicks } from './startTicks';
@@ -34,6 +36,8 @@
 
   private readonly knowledge: FleetKnowledge;
 
+  private readonly quotas: Quotas;
+
   private readonly reader: CatalogReader;
 
   private readonly callPath: CallPath;
@@ -55,7 +59,9 @@
     this.knowledge = new FleetKnowledge(parts, {
       ...{ ledger, link: this.link, tasks, isStopping },
       sourceState: () => this.reader.state(),
+      onQuotaMessage: (message, fromIp) => this.quotas.receive(message, fromIp),
     });
+    this.quotas = makeQuotas(parts, { exchange: this.knowledge.exchange, isStopping });
     this.addresses = new Addresses({
       ...{ clock, events, tasks, onOpened: () => this.applyOpenedAddress() },
     });
@@ -115,6 +121,8 @@
     lifecycle.own('probes', () => callPath.probes.close());
     knowledge.exchange.start();
     lifecycle.own('exchange', () => knowledge.exchange.close());
+    this.quotas.start();
+    lifecycle.own('quotas', () => this.quotas.close());
     void this.tasks.run('catalog reader', () => this.reader.run());
     lifecycle.own('catalog reader', () => this.reader.close());
     const { probes } = callPath;
@@ -131,6 +139,7 @@
       source: { state: this.reader.state(), lastAnswerAt: this.reader.lastAnswerAt() },
       isReady: this.isReady(),
       waitingFor: this.addresses.waitingFor(),
+      quotas: this.quotas.describe(),
     });
   }
 
@@ -149,6 +158,7 @@
 
   private listenToLedger(): void {
     this.knowledge.listenTo(this.ledger);
+    this.ledger.onChange((catalog) => this.quotas.applyCatalog(catalog));
     this.callPath.listenTo(this.ledger);
     this.ledger.onChange((catalog) => {
       this.parts.events.emit(BALANCER_EVENTS.catalogChanged, {
--- a/src/balancer/describeBalancer.ts
+++ b/src/balancer/describeBalancer.ts
@@ -1,6 +1,7 @@
 import { type Catalog } from '../catalog';
 import { type KnownHost } from '../exchange';
 import { type TargetStatisticsTable, type TargetSubsets } from '../knowledge';
+import { type Quotas } from '../quota';
 import { type Clock } from '../runtime';
 import { type BalancerSettings } from '../settings';
 import { type SourceState } from '../source';
@@ -17,6 +18,8 @@
   readonly isReady: boolean;
   /** Settings of the addresses that are not open yet. */
   readonly waitingFor: readonly string[];
+  /** The quotas of tenants that this host owns. */
+  readonly quotas: ReturnType<Quotas['describe']>;
 }
 
 function age(now: number, at: number): number | null {
@@ -43,6 +46,7 @@
       routes: catalog.configuration?.routes.length ?? 0,
       zonesOut: [...catalog.zonesOut],
     },
+    quotas: input.quotas,
     source: { state: source.state, lastAnswerAge: age(now, source.lastAnswerAt) },
     hosts: hosts.map((host) => ({
       id: host.id,
--- a/src/balancer/fleetKnowledge.ts
+++ b/src/balancer/fleetKnowledge.ts
@@ -1,5 +1,5 @@
 import { type Ledger } from '../catalog';
-import { Exchange, type HostAddress, type UdpLink } from '../exchange';
+import { Exchange, type HostAddress, type QuotaMessage, type UdpLink } from '../exchange';
 import {
   identityKey,
   InFlightBroadcaster,
@@ -26,6 +26,7 @@
   readonly tasks: Supervisor;
   readonly sourceState: () => SourceState;
   readonly isStopping: () => boolean;
+  readonly onQuotaMessage: (message: QuotaMessage, fromIp: string) => void;
 }
 
 /** What this host knows of the targets and the other hosts, and tells them. */
@@ -131,12 +132,12 @@
 
   private makeExchange(): Exchange {
     const { clock, random, events, settings } = this.parts;
-    const { ledger, link, tasks, sourceState, isStopping } = this.sources;
+    const { ledger, link, tasks, sourceState, isStopping, onQuotaMessage } = this.sources;
     const ip = ipOf(settings['control-address']);
     const ownHostKey = identityKey(ip);
     const self: HostAddress = { id: settings['host-id'], zone: settings.zone, ip };
     return new Exchange({
-      ...{ clock, random, link, tasks, events, self, ledger, sourceState },
+      ...{ clock, random, link, tasks, events, self, ledger, sourceState, onQuotaMessage },
       zones: settings.zones,
       incarnation: random.integer(2 ** 30),
       seeds: () => this.parts.currentSettings().seeds.map(ipOf),
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -12,7 +12,7 @@
 import { type HostAddress } from './hostAddress';
 import { Membership } from './membership';
 import { type HostView, MembershipGossip } from './membershipGossip';
-import { type Message, type ReportsMessage } from './message';
+import { type Message, type QuotaMessage, type ReportsMessage } from './message';
 import { NoticeGossip } from './noticeGossip';
 import { type Notices } from './notices';
 import { OtherZones } from './otherZones';
@@ -43,6 +43,7 @@
   readonly notices: () => Notices;
   /** Applies notices; returns those that were news. */
   readonly onNotices: (notices: Notices) => Notices;
+  readonly onQuotaMessage: (message: QuotaMessage, fromIp: string) => void;
 }
 
 type MessageHandlers = {
@@ -100,6 +101,8 @@
       if (message.isRepeated) this.noticeGossip.passOn(news);
       if (message.shouldRebroadcast) this.rebroadcast({ ...message, shouldRebroadcast: false });
     },
+    quotaQuestion: (message, fromIp) => this.parts.onQuotaMessage(message, fromIp),
+    quotaAnswer: (message, fromIp) => this.parts.onQuotaMessage(message, fromIp),
   };
 
   constructor(private readonly parts: ExchangeParts) {
@@ -195,6 +198,11 @@
     this.sendTo(this.otherZones.choose('notices'), { ...message, shouldRebroadcast: true });
   }
 
+  /** Sends a message about quotas to one host. */
+  sendQuotaMessage(ip: string, message: QuotaMessage): void {
+    this.send([ip], message);
+  }
+
   private receive(bytes: Buffer, fromIp: string): void {
     const message = decodeMessage(bytes);
     if (message === null) {
--- a/src/exchange/index.ts
+++ b/src/exchange/index.ts
@@ -1,7 +1,13 @@
 export { type HostAddress } from './hostAddress';
 export { type KnownHost } from './knownHost';
 export { Membership } from './membership';
-export { type Message } from './message';
+export {
+  type Message,
+  type QuotaAnswer,
+  type QuotaMessage,
+  type QuotaQuestion,
+  type QuotaResult,
+} from './message';
 export { type DatagramLink } from './datagramLink';
 export { UdpLink } from './udpLink';
 export { Exchange, type ExchangeParts } from './exchange';
--- a/src/exchange/membership.ts
+++ b/src/exchange/membership.ts
@@ -179,6 +179,15 @@
     return this.maxLiveHosts;
   }
 
+  /** Number of live hosts, including this one, with those of other zones as these count them. */
+  liveHostCount(): number {
+    this.refresh();
+    let size = this.liveNeighbours.length + 1;
+    const zones = new Set(this.liveHosts.map((host) => host.zone));
+    for (const zone of zones) if (zone !== this.self.zone) size += this.zoneSizes.get(zone) ?? 1;
+    return size;
+  }
+
   // Hosts are replaced under new ids, so that those of all days would be passed over otherwise.
   private forgetOldHosts(): void {
     const oldest = this.clock.now() - SILENT_RETENTION_MS;
@@ -225,10 +234,6 @@
 
   private updateMaxLiveHosts(): void {
     this.nextRefreshAt = 0;
-    this.refresh();
-    let size = this.liveNeighbours.length + 1;
-    const zones = new Set(this.liveHosts.map((host) => host.zone));
-    for (const zone of zones) if (zone !== this.self.zone) size += this.zoneSizes.get(zone) ?? 1;
-    if (size > this.maxLiveHosts) this.maxLiveHosts = size;
+    this.maxLiveHosts = Math.max(this.maxLiveHosts, this.liveHostCount());
   }
 }
--- a/src/exchange/message.ts
+++ b/src/exchange/message.ts
@@ -83,6 +83,46 @@
   readonly isRepeated?: boolean;
 }
 
+/** Asks the owner of a tenant's quota, or its substitute, for one call. */
+export interface QuotaQuestion {
+  readonly kind: 'quotaQuestion';
+  /** Identifies the question among those of its sender; a repetition has the same number. */
+  readonly number: number;
+  /** Key of the tenant's name, as `identityKey` makes it. */
+  readonly tenant: number;
+  readonly isSubstitute: boolean;
+  /** Whether the previous owner has stopped granting calls of this tenant. */
+  readonly isHandedOver: boolean;
+  /** Calls granted to the sender that were refused afterwards. */
+  readonly returned: number;
+}
+
+/** What the owner of a quota decides about one call. */
+export type QuotaResult =
+  | { readonly kind: 'granted' }
+  /** The limit is reached; a token is expected after this time. */
+  | { readonly kind: 'exceeded'; readonly waitMs: number }
+  /** Whether the limit is reached is not known to the host that was asked. */
+  | { readonly kind: 'unknown'; readonly waitMs: number }
+  /** Another host owns the quota; `hasCeased` if the sender owned it and has stopped granting. */
+  | { readonly kind: 'redirect'; readonly ip: string; readonly hasCeased: boolean };
+
+/** Answers a `QuotaQuestion` of the same number. */
+export interface QuotaAnswer {
+  readonly kind: 'quotaAnswer';
+  readonly number: number;
+  readonly result: QuotaResult;
+}
+
+/** A message about quotas of tenants. */
+export type QuotaMessage = QuotaQuestion | QuotaAnswer;
+
 /** Any message between hosts. */
 export type Message =
-  Heartbeat | Digest | ReportsMessage | InFlightCountsMessage | ChangesMessage | NoticesMessage;
+  | Heartbeat
+  | Digest
+  | ReportsMessage
+  | InFlightCountsMessage
+  | ChangesMessage
+  | NoticesMessage
+  | QuotaMessage;
--- a/src/exchange/packedCodec.ts
+++ b/src/exchange/packedCodec.ts
@@ -7,16 +7,20 @@
   type Digest,
   type Heartbeat,
   type InFlightCountsMessage,
+  type QuotaMessage,
   type ReportsMessage,
 } from './message';
 import { type MessageCodec } from './messageCodec';
+import { QUOTA_ANSWER_CODEC } from './quotaAnswerCodec';
+import { QUOTA_QUESTION_CODEC } from './quotaQuestionCodec';
 import { REPORTS_CODEC } from './reportsCodec';
 
 /**
  * Messages in a binary encoding, as some hundred are sent each second; in JSON, ids and brackets
  * took 5/6 of their bytes.
  */
-export type PackedMessage = Digest | Heartbeat | InFlightCountsMessage | ReportsMessage;
+export type PackedMessage =
+  Digest | Heartbeat | InFlightCountsMessage | QuotaMessage | ReportsMessage;
 
 type PackedCodecs = {
   readonly [Name in PackedMessage['kind']]: MessageCodec<Extract<PackedMessage, { kind: Name }>>;
@@ -28,6 +32,8 @@
   reports: REPORTS_CODEC,
   digest: DIGEST_CODEC,
   heartbeat: HEARTBEAT_CODEC,
+  quotaQuestion: QUOTA_QUESTION_CODEC,
+  quotaAnswer: QUOTA_ANSWER_CODEC,
 };
 
 // The first byte has two flags in its lowest bits and then the tag.
--- /dev/null
+++ b/src/exchange/quotaQuestionCodec.ts
@@ -0,0 +1,29 @@
+import { type QuotaQuestion } from './message';
+import { type MessageCodec } from './messageCodec';
+
+// The last field has two flags in its lowest bits and then the number of returned calls.
+const SUBSTITUTE = 1;
+const HANDED_OVER = 2;
+const FLAG_VALUES = 4;
+
+/** A question takes 10 bytes for numbers below 2^21. */
+export const QUOTA_QUESTION_CODEC: MessageCodec<QuotaQuestion> = {
+  tag: 5,
+  encode: ({ number, tenant, isSubstitute, isHandedOver, returned }, writer) => {
+    writer.uint32(number).fixed32(tenant);
+    const flags = (isSubstitute ? SUBSTITUTE : 0) + (isHandedOver ? HANDED_OVER : 0);
+    writer.uint32(returned * FLAG_VALUES + flags);
+  },
+  decode: (reader) => {
+    const number = reader.uint32();
+    const tenant = reader.fixed32();
+    const field = reader.uint32();
+    return {
+      kind: 'quotaQuestion',
+      ...{ number, tenant },
+      isSubstitute: field % HANDED_OVER === SUBSTITUTE,
+      isHandedOver: field % FLAG_VALUES >= HANDED_OVER,
+      returned: Math.floor(field / FLAG_VALUES),
+    };
+  },
+};
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -133,6 +133,7 @@
         for (const count of counts) inFlightTable.apply(count);
         if (shouldRebroadcast) inFlightBroadcaster.rebroadcast(counts);
       },
+      onQuotaMessage: () => {},
       notices: () => ({
         crashes: crashTable.histories(),
         leaving: targetStates.leavingTargets(),
--- a/test/load/networkedHost.ts
+++ b/test/load/networkedHost.ts
@@ -95,6 +95,7 @@
         crashes: [],
         leaving: this.parts.hasNotices ? targetStates.leavingTargets() : [],
       }),
+      onQuotaMessage: () => {},
       onNotices: ({ leaving }) => ({
         crashes: [],
         leaving: leaving.filter((target) => targetStates.recordLeaving(target)),
