--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -18,6 +18,7 @@
   'exchange',
   'freshness',
   'placement',
+  'quota',
   'peer',
   'fleet',
   'outcomes',
--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -2,6 +2,7 @@
 import { type CallServer } from '../delivery';
 import { EXCHANGE_EVENTS, UdpLink } from '../exchange';
 import { type Supervisor } from '../lifecycle';
+import { type Quotas } from '../quota';
 import { type CatalogReader, type CatalogSource } from '../source';
 
 import { Addresses } from './addresses';
@@ -10,6 +11,7 @@
 import { describeBalancer } from './describeBalancer';
 import { BALANCER_EVENTS } from './events';
 import { FleetKnowledge } from './fleetKnowledge';
+import { makeQuotas } from './makeQuotas';
 import { makeReader } from './makeReader';
 import { openAddresses } from './openAddresses';
 import { startTicks } from './startTicks';
@@ -34,6 +36,8 @@
 
   private readonly knowledge: FleetKnowledge;
 
+  private readonly quotas: Quotas;
+
   private readonly reader: CatalogReader;
 
   private readonly confirmationSource: CatalogSource;
@@ -59,7 +63,9 @@
       ...{ ledger, link: this.link, tasks, isStopping },
       confirmationSource: this.confirmationSource,
       sourceState: () => this.reader.state(),
+      onQuotaMessage: (message, fromIp) => this.quotas.receive(message, fromIp),
     });
+    this.quotas = makeQuotas(parts, { exchange: this.knowledge.exchange, isStopping });
     this.addresses = new Addresses({
       ...{ clock, events, tasks, onOpened: () => this.applyOpenedAddress() },
     });
@@ -69,6 +75,8 @@
       catalog: () => ledger.catalog(),
       tasks,
       knowledge: this.knowledge,
+      keys: parts.keys ?? this.knowledge.freshness,
+      quotas: parts.quotas ?? this.quotas,
       stopDeadline: () => this.stopDeadline,
     });
     this.calls = this.callPath.calls;
@@ -125,6 +133,8 @@
       knowledge.freshness.close();
       this.confirmationSource.close();
     });
+    this.quotas.start();
+    lifecycle.own('quotas', () => this.quotas.close());
     void this.tasks.run('catalog reader', () => this.reader.run());
     lifecycle.own('catalog reader', () => this.reader.close());
     const { probes } = callPath;
@@ -142,6 +152,7 @@
       proof: this.knowledge.freshness.state(),
       isReady: this.isReady(),
       waitingFor: this.addresses.waitingFor(),
+      quotas: this.quotas.describe(),
     });
   }
 
@@ -160,6 +171,7 @@
 
   private listenToLedger(): void {
     this.knowledge.listenTo(this.ledger);
+    this.ledger.onChange((catalog) => this.quotas.applyCatalog(catalog));
     this.callPath.listenTo(this.ledger);
     this.ledger.onChange((catalog) => {
       this.parts.events.emit(BALANCER_EVENTS.catalogChanged, {
--- a/src/balancer/balancerParts.ts
+++ b/src/balancer/balancerParts.ts
@@ -20,9 +20,9 @@
   readonly events: EventSink;
   readonly metrics: PrometheusSink;
   readonly lifecycle: Lifecycle;
-  /** Whether callers' keys may be used; by default always. */
+  /** Decides in place of the proofs of this host whether callers' keys may be used. */
   readonly keys?: KeyValidity;
-  /** Limits of tenants; by default none. */
+  /** Decides in place of the owners of quotas. */
   readonly quotas?: CallQuotas;
   readonly droppedLines: () => number;
 }
--- a/src/balancer/callPath.ts
+++ b/src/balancer/callPath.ts
@@ -1,6 +1,7 @@
 import { type Catalog, type Ledger } from '../catalog';
 import {
   type CallEnd,
+  type CallQuotas,
   CallServer,
   CrashGuard,
   Delivery,
@@ -28,6 +29,8 @@
   readonly catalog: () => Catalog;
   readonly tasks: Supervisor;
   readonly knowledge: FleetKnowledge;
+  readonly keys: KeyValidity;
+  readonly quotas: CallQuotas;
   /** Monotonic time by which the last answer must be sent; Infinity unless the host is stopping. */
   readonly stopDeadline: () => number;
 }
@@ -57,7 +60,7 @@
     this.calls = new CallServer({
       ...{ clock, random, events, protocol, catalog, context: this.delivery },
       observer: { onEnd: (call, end, elapsedMs) => this.countCall(call, end, elapsedMs) },
-      ...{ memory, keys: parts.keys, quotas: parts.quotas },
+      ...{ memory, keys: sources.keys, quotas: sources.quotas },
       configurationApplyMs: settings['configuration-apply-ms'],
       maxConnections: callerConnectionLimit(settings['descriptor-limit']),
     });
@@ -130,7 +133,7 @@
       connectionLimits: targetConnectionLimits(settings['descriptor-limit']),
       ...{ memory, clock, random, events, catalog, targetStates, stopDeadline },
       protocol: adapter.protocol,
-      keys: this.parts.keys,
+      keys: this.sources.keys,
       placer: this.makePlacer(),
       crashes: this.makeCrashGuard(),
       retryBudgetLimits: {
--- a/src/balancer/fleetKnowledge.ts
+++ b/src/balancer/fleetKnowledge.ts
@@ -1,5 +1,5 @@
 import { type Ledger } from '../catalog';
-import { Exchange, type HostAddress, type UdpLink } from '../exchange';
+import { Exchange, type HostAddress, type QuotaMessage, type UdpLink } from '../exchange';
 import { Freshness } from '../freshness';
 import {
   identityKey,
@@ -30,6 +30,7 @@
   /** Connection to the source that is used for confirmations only. */
   readonly confirmationSource: CatalogSource;
   readonly isStopping: () => boolean;
+  readonly onQuotaMessage: (message: QuotaMessage, fromIp: string) => void;
 }
 
 /** What this host knows of the targets and the other hosts, and tells them. */
@@ -161,11 +162,11 @@
 
   private makeExchange(): Exchange {
     const { clock, random, events, settings } = this.parts;
-    const { ledger, link, tasks, sourceState, isStopping } = this.sources;
+    const { ledger, link, tasks, sourceState, isStopping, onQuotaMessage } = this.sources;
     const self = this.ownAddress();
     const ownHostKey = identityKey(self.ip);
     return new Exchange({
-      ...{ clock, random, link, tasks, events, self, ledger, sourceState },
+      ...{ clock, random, link, tasks, events, self, ledger, sourceState, onQuotaMessage },
       zones: settings.zones,
       incarnation: random.integer(2 ** 30),
       seeds: () => this.parts.currentSettings().seeds.map(ipOf),
--- a/src/exchange/exchange.ts
+++ b/src/exchange/exchange.ts
@@ -12,7 +12,12 @@
 import { type HostAddress } from './hostAddress';
 import { Membership } from './membership';
 import { type HostView, MembershipGossip } from './membershipGossip';
-import { type Message, type ProofResponse, type ReportsMessage } from './message';
+import {
+  type Message,
+  type ProofResponse,
+  type QuotaMessage,
+  type ReportsMessage,
+} from './message';
 import { NoticeGossip } from './noticeGossip';
 import { type Notices } from './notices';
 import { OtherZones } from './otherZones';
@@ -46,6 +51,7 @@
   /** The proof of this host for a request with this token; null when it has none. */
   readonly answerProofRequest: (token: number) => ProofResponse | null;
   readonly onProofResponse: (response: ProofResponse, fromIp: string) => void;
+  readonly onQuotaMessage: (message: QuotaMessage, fromIp: string) => void;
 }
 
 type MessageHandlers = {
@@ -108,6 +114,8 @@
       if (response !== null) this.send([fromIp], response);
     },
     proofResponse: (response, fromIp) => this.parts.onProofResponse(response, fromIp),
+    quotaQuestion: (message, fromIp) => this.parts.onQuotaMessage(message, fromIp),
+    quotaAnswer: (message, fromIp) => this.parts.onQuotaMessage(message, fromIp),
   };
 
   constructor(private readonly parts: ExchangeParts) {
@@ -208,6 +216,11 @@
     this.sendTo(hosts, { kind: 'proofRequest', token });
   }
 
+  /** Sends a message about quotas to one host. */
+  sendQuotaMessage(ip: string, message: QuotaMessage): void {
+    this.send([ip], message);
+  }
+
   private receive(bytes: Buffer, fromIp: string): void {
     const message = decodeMessage(bytes);
     if (message === null) {
--- a/src/exchange/packedCodec.ts
+++ b/src/exchange/packedCodec.ts
@@ -9,11 +9,14 @@
   type InFlightCountsMessage,
   type ProofRequest,
   type ProofResponse,
+  type QuotaMessage,
   type ReportsMessage,
 } from './message';
 import { type MessageCodec } from './messageCodec';
 import { PROOF_REQUEST_CODEC } from './proofRequestCodec';
 import { PROOF_RESPONSE_CODEC } from './proofResponseCodec';
+import { QUOTA_ANSWER_CODEC } from './quotaAnswerCodec';
+import { QUOTA_QUESTION_CODEC } from './quotaQuestionCodec';
 import { REPORTS_CODEC } from './reportsCodec';
 
 /**
@@ -21,7 +24,13 @@
  * took 5/6 of their bytes.
  */
 export type PackedMessage =
-  Digest | Heartbeat | InFlightCountsMessage | ReportsMessage | ProofRequest | ProofResponse;
+  | Digest
+  | Heartbeat
+  | InFlightCountsMessage
+  | ProofRequest
+  | ProofResponse
+  | QuotaMessage
+  | ReportsMessage;
 
 type PackedCodecs = {
   readonly [Name in PackedMessage['kind']]: MessageCodec<Extract<PackedMessage, { kind: Name }>>;
@@ -35,6 +44,8 @@
   heartbeat: HEARTBEAT_CODEC,
   proofRequest: PROOF_REQUEST_CODEC,
   proofResponse: PROOF_RESPONSE_CODEC,
+  quotaQuestion: QUOTA_QUESTION_CODEC,
+  quotaAnswer: QUOTA_ANSWER_CODEC,
 };
 
 // The first byte has two flags in its lowest bits and then the tag.
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -146,6 +146,7 @@
       answerProofRequest: (token) => this.hosts.get(id)!.freshness.answerRequest(token),
       onProofResponse: (response, fromIp) =>
         this.hosts.get(id)!.freshness.receiveResponse(response, fromIp),
+      onQuotaMessage: () => {},
       notices: () => ({
         crashes: crashTable.histories(),
         leaving: targetStates.leavingTargets(),
