--- a/src/exchange/quotaAnswerCodec.ts
+++ b/src/exchange/quotaAnswerCodec.ts
@@ -1,3 +1,5 @@
+import { isIPv4 } from 'node:net';
+
 import { type BinaryReader, type BinaryWriter } from '@bufbuild/protobuf/wire';
 
 import { type QuotaAnswer, type QuotaResult } from './message';
@@ -35,7 +37,12 @@
     encode: ({ ip, hasCeased }, writer) => {
       writer.string(ip).bool(hasCeased);
     },
-    decode: (reader) => ({ kind: 'redirect', ip: reader.string(), hasCeased: reader.bool() }),
+    decode: (reader) => {
+      const ip = reader.string();
+      // Questions are sent to this address.
+      if (!isIPv4(ip)) throw new RangeError('redirect without an IPv4 address');
+      return { kind: 'redirect', ip, hasCeased: reader.bool() };
+    },
   },
 };
 
--- a/src/quota/ownedQuotas.ts
+++ b/src/quota/ownedQuotas.ts
@@ -121,7 +121,7 @@
     const now = this.parts.clock.now();
     return [...this.quotas.values()]
       .filter((quota) => quota.isOwner())
-      .map((quota) => quota.describe(now));
+      .map((quota) => quota.describe(now, this.heardShare));
   }
 
   private add(now: number, tenant: Tenant): void {
--- a/src/quota/quotas.ts
+++ b/src/quota/quotas.ts
@@ -18,6 +18,9 @@
 // A host that has just started waits this long for the list of members.
 const JOIN_MS = 250;
 const REFRESH_INTERVAL_MS = 500;
+// Within the time that the owner states calls are refused without a question, but for this long at most,
+// as a raised limit or returned calls may shorten the time.
+const MAX_REFUSAL_MS = 1000;
 // A substitute or another owner answers by then.
 const UNANSWERED_RETRY_MS = 500;
 
@@ -39,6 +42,14 @@
   ) => QuotaDecision;
 };
 
+/** The last refusal of a tenant by its owner, in monotonic times. */
+interface Refusal {
+  /** When the owner expects a token. */
+  readonly tokenAt: number;
+  /** Until then calls are refused without a question. */
+  readonly validUntil: number;
+}
+
 /** Limits the calls of each tenant over all hosts. */
 export class Quotas implements CallQuotas {
   private readonly order: OwnerOrder;
@@ -51,8 +62,7 @@
 
   private readonly log: QuotaLog;
 
-  /** Monotonic time until which the owner refuses the calls of a tenant. */
-  private readonly refusedUntil = new Map<string, number>();
+  private readonly refusals = new Map<string, Refusal>();
 
   private readonly startedAt: number;
 
@@ -99,14 +109,15 @@
     const has = (name: string) => (tenants?.get(name) ?? null) !== null;
     this.order.retainTenants(has);
     this.reserve.retainTenants(has);
-    this.refusedUntil.clear();
+    this.refusals.clear();
   }
 
   /** Takes one call from the quota of the tenant. */
   async acquire(tenant: Tenant): Promise<QuotaDecision> {
     if (tenant.callsPerSecond <= 0) return { kind: 'granted' };
-    const waitMs = (this.refusedUntil.get(tenant.name) ?? 0) - this.parts.clock.now();
-    if (waitMs > 0) return this.refuseExceeded(tenant, waitMs);
+    const refusal = this.refusals.get(tenant.name);
+    if (refusal !== undefined && this.parts.clock.now() < refusal.validUntil)
+      return this.refuse(tenant, refusal.tokenAt);
     if (this.isJoining()) await waitUntil(this.parts.clock, this.startedAt + JOIN_MS);
     const reply = await this.client.ask(tenant);
     const handle = this.replyHandlers[reply.kind] as (
@@ -149,9 +160,16 @@
 
   private refuseExceeded(tenant: Tenant, waitMs: number): QuotaDecision {
     const now = this.parts.clock.now();
-    this.refusedUntil.set(tenant.name, now + waitMs);
+    const tokenAt = now + waitMs;
+    this.refusals.set(tenant.name, {
+      ...{ tokenAt, validUntil: Math.min(tokenAt, now + MAX_REFUSAL_MS) },
+    });
+    return this.refuse(tenant, tokenAt);
+  }
+
+  private refuse(tenant: Tenant, tokenAt: number): QuotaDecision {
     this.log.reportExceeded(tenant);
-    return { kind: 'exceeded', retryAfterMs: Math.ceil(waitMs) };
+    return { kind: 'exceeded', retryAfterMs: Math.ceil(tokenAt - this.parts.clock.now()) };
   }
 
   private useReserve(tenant: Tenant, waitMs: number): QuotaDecision {
--- a/src/quota/tenantQuota.ts
+++ b/src/quota/tenantQuota.ts
@@ -98,13 +98,11 @@
   }
 
   /** For the status of the host. */
-  describe(now: number) {
-    return {
-      tenant: this.present.name,
-      isRestricted: !this.isUnrestricted(now),
-      tokens: Math.floor((this.owned ?? this.restricted).level(now)),
-      granted: this.grantedCalls,
-    };
+  describe(now: number, heardShare: number) {
+    const isRestricted = !this.isUnrestricted(now);
+    const bucket = isRestricted ? this.restricted : this.bucket(now, heardShare);
+    const tokens = Math.floor(bucket.level(now));
+    return { tenant: this.present.name, isRestricted, tokens, granted: this.grantedCalls };
   }
 
   // The predecessor may have emptied its bucket, so this one is empty when this host becomes the only owner.
--- a/test/exchange/datagramCodec.test.ts
+++ b/test/exchange/datagramCodec.test.ts
@@ -76,6 +76,19 @@
     ...{ source: 'idle', isLeaving: true, zoneSize: 5, otherZone: ['b', 6] },
     shouldReplyWithMembers: true,
   },
+  {
+    kind: 'quotaQuestion',
+    ...{ number: 2 ** 21 - 1, tenant: 4_294_967_295, returned: 60 },
+    ...{ isSubstitute: false, isHandedOver: true },
+  },
+  {
+    kind: 'quotaQuestion',
+    ...{ number: 0, tenant: 0, returned: 0, isSubstitute: true, isHandedOver: false },
+  },
+  { kind: 'quotaAnswer', number: 1, result: { kind: 'granted' } },
+  { kind: 'quotaAnswer', number: 2, result: { kind: 'exceeded', waitMs: 70_000 } },
+  { kind: 'quotaAnswer', number: 3, result: { kind: 'unknown', waitMs: 0 } },
+  { kind: 'quotaAnswer', number: 4, result: { kind: 'redirect', ip: '10.0.0.9', hasCeased: true } },
 ];
 
 describe('the datagram codec', () => {
@@ -95,6 +108,19 @@
     expect(encodeMessage({ kind: 'flights', counts }).length).toBeLessThanOrEqual(20);
   });
 
+  // Guards against questions and answers that take a large part of 6 KB/s, as each call has both.
+  it('encodes a question about a quota and its answer in at most 16 bytes', () => {
+    const messages = MESSAGES.filter(({ kind }) => kind.startsWith('quota')).slice(0, 3);
+    const [question, , answer] = messages.map((message) => encodeMessage(message).length);
+    expect(question! + answer!).toBeLessThanOrEqual(16);
+  });
+
+  // Guards against questions that a corrupted answer directs to anything but a host.
+  it('rejects a redirection to something else than an IP address', () => {
+    const result = { kind: 'redirect', ip: 'localhost', hasCeased: false } as const;
+    expect(decodeMessage(encodeMessage({ kind: 'quotaAnswer', number: 4, result }))).toBeNull();
+  });
+
   // Guards against a host that decodes messages of another protocol version as its own.
   it('rejects other protocol versions', () => {
     for (const message of MESSAGES.slice(0, 2)) {
