--- a/standins/store/storeStandin.ts
+++ b/standins/store/storeStandin.ts
@@ -6,6 +6,14 @@
  */
 export type StoreMode = 'well' | 'busy' | 'tooMany' | 'silent' | 'reset' | 'loses';
 
+/**
+ * How the store answers confirmations, which are watches that do not wait: `drops` never, `old` with the
+ * state as of the moment at which this was set.
+ */
+export type ConfirmationMode = 'well' | 'drops' | 'old';
+
+// A watch with a shorter wait than this is a confirmation.
+const MIN_WATCH_MS = 2;
 const API_PREFIX = '/api/';
 
 interface Item {
@@ -38,8 +46,17 @@
 
   private calls = 0;
 
+  private confirmationMode: ConfirmationMode = 'well';
+
+  private oldRevision = 0;
+
+  private confirmations = 0;
+
   private readonly server: Server;
 
+  /** Time for which the answer to a confirmation, with the state before, is on its way. */
+  confirmationDelayMs = 0;
+
   /** Maximum number of items in a page of a range read. */
   pageSize = 500;
 
@@ -82,6 +99,17 @@
     this.mode = mode;
   }
 
+  /** Sets how subsequent confirmations are answered. */
+  setConfirmationMode(mode: ConfirmationMode): void {
+    this.confirmationMode = mode;
+    this.oldRevision = this.revision;
+  }
+
+  /** Number of confirmations since the start. */
+  confirmationCount(): number {
+    return this.confirmations;
+  }
+
   /** Number of requests to the interface of the store since the start. */
   callCount(): number {
     return this.calls;
@@ -180,6 +208,10 @@
       response.writeHead(410).end();
       return;
     }
+    if (waitMs < MIN_WATCH_MS) {
+      this.confirm(prefix, after, response);
+      return;
+    }
     const hasChanges = this.history.some(
       (item) => item.revision > after && item.key.startsWith(prefix),
     );
@@ -194,10 +226,22 @@
     this.watches.add({ prefix, after, response, timer: setTimeout(expireWatch, waitMs) });
   }
 
-  private sendChanges(prefix: string, after: number, response: ServerResponse): void {
-    const events = this.history.filter(
-      (item) => item.revision > after && item.key.startsWith(prefix),
+  private confirm(prefix: string, after: number, response: ServerResponse): void {
+    this.confirmations += 1;
+    if (this.confirmationMode === 'drops') return;
+    const asOf = this.confirmationMode === 'old' ? this.oldRevision : this.revision;
+    const changes = { events: this.changes(prefix, after, asOf), as_of: asOf };
+    setTimeout(() => this.reply(response, changes), this.confirmationDelayMs);
+  }
+
+  private changes(prefix: string, after: number, asOf: number): readonly Item[] {
+    return this.history.filter(
+      ({ revision, key }) => revision > after && revision <= asOf && key.startsWith(prefix),
     );
+  }
+
+  private sendChanges(prefix: string, after: number, response: ServerResponse): void {
+    const events = this.changes(prefix, after, this.revision);
     this.reply(response, { events, as_of: this.revision });
   }
 
--- /dev/null
+++ b/test/freshness/proofsOfFleets.test.ts
@@ -0,0 +1,126 @@
+import { decodeMessage } from '../../src/exchange/datagramCodec';
+import { SimulatedFleet } from '../exchange/simulatedFleet';
+
+const SEED = Number(process.env.SEED ?? 1);
+const MAX_AGE_MS = 2000;
+const USABLE_MS = 4800;
+const MAX_START_MS = 2000;
+// "A few" hosts of each zone read the store when all start.
+const MAX_START_CALLS_OF_ZONE = 5;
+const MAX_BYTES_PER_SECOND = 6000;
+const STEP_MS = 10;
+
+// The largest sizes take minutes and are for measurements.
+const SIZES: readonly (readonly [size: number, zones: number])[] = [
+  [17, 3],
+  ...(process.env.PRINT_PROOFS === undefined ? [] : [[129, 5] as const, [312, 5] as const]),
+];
+
+/** Age in milliseconds of the oldest proof of a host at any moment of `durationMs`. */
+async function oldestProof(fleet: SimulatedFleet, durationMs: number): Promise<number> {
+  let oldestMs = 0;
+  const end = fleet.clock.now() + durationMs;
+  while (fleet.clock.now() < end) {
+    await fleet.network.advance(STEP_MS);
+    for (const { freshness } of fleet.network.liveHosts())
+      oldestMs = Math.max(oldestMs, freshness.proofAgeMs());
+  }
+  return Math.ceil(oldestMs);
+}
+
+/** Time in milliseconds until all hosts have a proof, at most `MAX_START_MS` and a step. */
+async function allHaveProofs(fleet: SimulatedFleet): Promise<number> {
+  const startedAt = fleet.clock.now();
+  const isWithout = () =>
+    fleet.network.liveHosts().some(({ freshness }) => freshness.proofAgeMs() > MAX_AGE_MS);
+  while (isWithout() && fleet.clock.now() <= startedAt + MAX_START_MS)
+    await fleet.network.advance(STEP_MS);
+  return fleet.clock.now() - startedAt;
+}
+
+/** Bytes and datagrams of proofs that a host sends a second, in the mean and at most. */
+async function traffic(fleet: SimulatedFleet, seconds: number) {
+  const bytes = new Map<string, number>();
+  let datagrams = 0;
+  fleet.network.onSend = (sent, from) => {
+    if (decodeMessage(sent)?.kind.startsWith('proof') !== true) return;
+    bytes.set(from, (bytes.get(from) ?? 0) + sent.length);
+    datagrams += 1;
+  };
+  fleet.source.requests = 0;
+  fleet.source.confirmations = 0;
+  for (const host of fleet.network.liveHosts()) host.sentBytes = 0;
+  const oldestMs = await oldestProof(fleet, seconds * 1000);
+  fleet.network.onSend = () => {};
+  const hosts = fleet.network.liveHosts();
+  const total = [...bytes.values()].reduce((sum, count) => sum + count, 0);
+  return {
+    oldestMs,
+    meanBytes: total / hosts.length / seconds,
+    mostBytes: Math.max(...bytes.values()) / seconds,
+    mostBytesOfAllMessages: Math.max(...hosts.map(({ sentBytes }) => sentBytes)) / seconds,
+    datagrams: datagrams / hosts.length / seconds,
+    confirmations: fleet.source.confirmations / seconds,
+    storeCalls: fleet.source.requests / seconds,
+  };
+}
+
+function print(size: number, what: string, figures: unknown): void {
+  if (process.env.PRINT_PROOFS !== undefined) console.log(size, what, JSON.stringify(figures));
+}
+
+describe.each(SIZES)(`the proofs of %d hosts in %d zones, seed ${SEED}`, (size, zones) => {
+  const fleet = new SimulatedFleet(size, zones, SEED, true);
+
+  // Guards against a start at which all hosts read the store, or at which some get no proof.
+  it('are there soon after the start, with few calls to the store', async () => {
+    const startMs = await allHaveProofs(fleet);
+    print(size, 'start', { startMs, calls: fleet.source.requests });
+    expect(startMs).toBeLessThanOrEqual(MAX_START_MS);
+    expect(fleet.source.requests).toBeLessThanOrEqual(MAX_START_CALLS_OF_ZONE * zones);
+    await fleet.network.advance(5000);
+  }, 300_000);
+
+  // Guards against proofs that expire without a fault, and against their cost.
+  it('are young at rest and cost few bytes', async () => {
+    const figures = await traffic(fleet, 6);
+    print(size, 'rest', figures);
+    expect(figures.oldestMs).toBeLessThan(MAX_AGE_MS);
+    expect(figures.mostBytesOfAllMessages).toBeLessThan(MAX_BYTES_PER_SECOND);
+    expect(figures.confirmations).toBeGreaterThanOrEqual(zones);
+  }, 300_000);
+
+  // Guards against a zone whose proofs depend on one host.
+  it('are young while the reader of a zone dies', async () => {
+    fleet.network.kill(fleet.readers()[0]!);
+    const oldestMs = await oldestProof(fleet, 10_000);
+    print(size, 'reader dies', oldestMs);
+    expect(oldestMs).toBeLessThan(MAX_AGE_MS);
+  }, 300_000);
+
+  // Guards against a zone whose reader has no access to the store.
+  it('are young while the reader of a zone is cut off from the store', async () => {
+    const reader = fleet.readers()[0]!;
+    fleet.source.modeOf = (host) => (host === reader ? 'silent' : 'answers');
+    const oldestMs = await oldestProof(fleet, 6000);
+    print(size, 'reader without store', oldestMs);
+    expect(oldestMs).toBeLessThan(MAX_AGE_MS);
+    fleet.source.modeOf = () => 'answers';
+    await fleet.network.advance(3000);
+  }, 300_000);
+
+  // Guards against refused calls in a short outage of the store, against use of keys after a longer one,
+  // and against a flood of calls during it.
+  it('outlast 3 s without the store, expire after a longer outage and come back', async () => {
+    fleet.source.modeOf = () => 'silent';
+    expect(await oldestProof(fleet, 3000)).toBeLessThan(USABLE_MS);
+    fleet.source.requests = 0;
+    await fleet.network.advance(8000);
+    const calls = fleet.source.requests;
+    expect(fleet.network.liveHosts().filter(({ freshness }) => freshness.mayUseKeys())).toEqual([]);
+    fleet.source.modeOf = () => 'answers';
+    const backMs = await allHaveProofs(fleet);
+    print(size, 'outage', { callsPerSecond: calls / 8, backMs });
+    expect(backMs).toBeLessThanOrEqual(MAX_START_MS);
+  }, 300_000);
+});
