--- a/src/balancer/callPath.ts
+++ b/src/balancer/callPath.ts
@@ -2,6 +2,7 @@
 import {
   type CallEnd,
   type CallQuotas,
+  type KeyValidity,
   CallServer,
   CrashGuard,
   Delivery,
