Let the fault soak use API keys and withdraw some of them

Cause: nothing checked keys while processes, the store and settings fail. Change: with SOAK_KEYS=1 the routes of the soak exist twice, public and with keys; half of the callers use keys, among them withdrawn ones, and a further fault replaces a key. A run with a key that was withdrawn more than 5 s before it was sent is a finding, as are a key in a request at a server and a 401 for a key published 2.5 s before. Off by default: hosts do not prove yet that their configuration is the newest (part B of docs/design/tenants-and-load.md). Without keys a seed gives the same faults as before.

--- a/soak/balancers/callRecords.ts
+++ b/soak/balancers/callRecords.ts
@@ -1,6 +1,7 @@
 import { type Arrival } from '../../standins/server/serverStandin';
 import { type KeptCall } from '../../test/support/keptCall';
 
+import { type KeyLife } from './keyLife';
 import { type SoakHost } from './soakHost';
 
 /** A host as far as the checks need it. */
@@ -17,4 +18,5 @@
   readonly calls: readonly KeptCall[];
   readonly arrivals: readonly ServerArrival[];
   readonly hosts: readonly CheckedHost[];
+  readonly keys: ReadonlyMap<string, KeyLife>;
 }
--- a/soak/balancers/checkCalls.ts
+++ b/soak/balancers/checkCalls.ts
@@ -9,6 +9,11 @@
 // These promise that the call has not run and never will.
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
 
+// A key that was withdrawn earlier than this before a call is not used for it (`revocation-ms`).
+export const REVOCATION_MS = 5000;
+// A published configuration is in force on each host in contact after this time.
+const CONFIGURATION_APPLY_MS = 2500;
+
 type CallCheck = (call: KeptCall, runners: readonly string[], records: CallRecords) => boolean;
 
 function isExcused({ host, sentAt, closedAt }: KeptCall, { hosts }: CallRecords): boolean {
@@ -29,6 +34,17 @@
   );
 }
 
+function isRevoked({ key, sentAt }: KeptCall, { keys }: CallRecords): boolean {
+  return key !== null && sentAt > keys.get(key)!.withdrawnAt + REVOCATION_MS;
+}
+
+// Hosts learn of new and of withdrawn keys a little later.
+function mayReject({ key, answer, answeredAt, sentAt }: KeptCall, { keys }: CallRecords): boolean {
+  if (key === null || answer!.status !== 401) return false;
+  const { publishedAt, withdrawnAt } = keys.get(key)!;
+  return withdrawnAt < answeredAt! || publishedAt > sentAt - CONFIGURATION_APPLY_MS;
+}
+
 /** Whether a call breaks a rule, by rule; `runners` are the servers that ran it. */
 const CHECKS: Readonly<Record<string, CallCheck>> = {
   'TWICE: ran more than once': ({ isIdempotent }, runners) => !isIdempotent && runners.length > 1,
@@ -36,11 +52,14 @@
     answer !== null && NOT_RUN_STATUSES.includes(answer.status) && runners.length > 0,
   'MIXED: another answer than that of its server': (call, runners) =>
     call.answer !== null && call.answer.status < 300 && !isWhole(call, runners),
-  'DENIED: a proper call': ({ answer }) =>
-    answer !== null &&
-    answer.status >= 300 &&
-    answer.status < 500 &&
-    !NOT_RUN_STATUSES.includes(answer.status),
+  'REVOKED: ran with a key that was withdrawn before': (call, runners, records) =>
+    runners.length > 0 && isRevoked(call, records),
+  'DENIED: a proper call': (call, _runners, records) =>
+    call.answer !== null &&
+    call.answer.status >= 300 &&
+    call.answer.status < 500 &&
+    !NOT_RUN_STATUSES.includes(call.answer.status) &&
+    !mayReject(call, records),
   'LOST: ran, and has no answer': (call, runners, records) =>
     call.answer === null && runners.length > 0 && !isExcused(call, records),
   'LOST: was read, and has no answer': (call, runners, records) =>
--- a/soak/balancers/faultLanes.ts
+++ b/soak/balancers/faultLanes.ts
@@ -5,7 +5,7 @@
 import { PROCESS_FAULTS } from './processFaults';
 import { SERVER_FAULTS } from './serverFaults';
 import { SETTINGS_FAULTS } from './settingsFaults';
-import { SOURCE_FAULTS } from './sourceFaults';
+import { KEY_FAULTS, SOURCE_FAULTS } from './sourceFaults';
 
 const FAULTS = Object.entries({
   ...PROCESS_FAULTS,
@@ -13,6 +13,8 @@
   ...SOURCE_FAULTS,
   ...SERVER_FAULTS,
 });
+// The faults that a seed gives without keys do not depend on those of keys.
+const FAULTS_WITH_KEYS = [...FAULTS, ...Object.entries(KEY_FAULTS)];
 const MAX_PAUSE_MS = 600;
 const LANE_SEED_STEP = 7919;
 
@@ -37,10 +39,11 @@
   // A lane has random numbers of its own, so that its faults do not depend on the other lanes.
   private async runLane(lane: number, until: number): Promise<void> {
     const random = new SeededRandom(this.seed * LANE_SEED_STEP + lane);
-    const { sleep } = this.context;
+    const { fleet, sleep } = this.context;
+    const faults = fleet.hasKeys() ? FAULTS_WITH_KEYS : FAULTS;
     while (performance.now() < until) {
       await sleep(random.integer(MAX_PAUSE_MS));
-      const [name, fault] = FAULTS[random.integer(FAULTS.length)]!;
+      const [name, fault] = faults[random.integer(faults.length)]!;
       this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
       const note = (text: string) => this.findings.note(`${name}: ${text}`);
       await fault({ ...this.context, random, note });
--- a/soak/balancers/runFaultSoak.ts
+++ b/soak/balancers/runFaultSoak.ts
@@ -2,17 +2,18 @@
 import { join } from 'node:path';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 
-import { SeededRandom } from '../../src/runtime';
+import { type Random, SeededRandom } from '../../src/runtime';
 import { type CallerHabits, KeptCaller } from '../../test/support/keptCaller';
 
 import { type CallRecords } from './callRecords';
-import { checkCalls } from './checkCalls';
+import { checkCalls, REVOCATION_MS } from './checkCalls';
 import { checkWishes } from './checkWishes';
 import { FaultLanes } from './faultLanes';
 import { FindingLog } from './findingLog';
 import { ReadinessWatch } from './readinessWatch';
 import { SoakFleet } from './soakFleet';
 import { SoakHost } from './soakHost';
+import { SoakKeys } from './soakKeys';
 
 const GRACE_S = 4;
 // A calm host has caught up within 4 s; it counts as calm 3 s after its last disruption.
@@ -46,6 +47,8 @@
    * written anything before.
    */
   readonly signalAfterMs: number;
+  /** Whether the configuration has tenants, whose keys some callers use and some of which are withdrawn. */
+  readonly hasKeys: boolean;
   /** Arguments of Node.js for each host; null for the program as built. */
   readonly command: readonly string[] | null;
   /** Folder for the output of the processes, a file for each seed and host; null for none. */
@@ -72,9 +75,18 @@
   });
 }
 
-function createCallers(fleet: SoakFleet, seed: number, hosts: number): readonly KeptCaller[] {
+function createCallers(
+  fleet: SoakFleet,
+  { seed, hosts }: FaultSoakOptions,
+  keys: SoakKeys | null,
+): readonly KeptCaller[] {
   const count = Math.max(CALLERS_PER_HABIT, Math.ceil(hosts / HOSTS_PER_CALLER));
-  return HABITS.flatMap((habits, habit) =>
+  const keyed = HABITS.map((habits) => ({
+    ...habits,
+    pickKey: (random: Random) => keys!.pick(random),
+  }));
+  const allHabits = keys === null ? HABITS : [...HABITS, ...keyed];
+  return allHabits.flatMap((habits, habit) =>
     Array.from({ length: count }, (_, index) => {
       const name = `c${habit}-${index}`;
       const random = new SeededRandom(seed * 1000 + habit * count + index);
@@ -102,10 +114,21 @@
   const log = new FindingLog();
   const turns = monitorEventLoopDelay();
   turns.enable();
-  const settings = { 'stop-grace-s': String(GRACE_S) };
+  const keys = options.hasKeys ? new SoakKeys() : null;
+  const settings = {
+    ...{ 'stop-grace-s': String(GRACE_S), 'revocation-ms': String(REVOCATION_MS) },
+    'strict-revocation': String(options.hasKeys),
+  };
   const zones = ['a', 'b', 'c'];
   const fleet = new SoakFleet({
-    ...{ hosts: options.hosts, serversPerService: SERVERS_PER_SERVICE, zones, settings, command },
+    ...{
+      hosts: options.hosts,
+      serversPerService: SERVERS_PER_SERVICE,
+      zones,
+      settings,
+      command,
+      keys,
+    },
   });
   const hosts: SoakHost[] = [];
   const callers: KeptCaller[] = [];
@@ -125,7 +148,7 @@
       balancer.settings['first-start'] = 'false';
       balancer.writeSettings(balancer.markedSettings());
     }
-    callers.push(...createCallers(fleet, seed, hosts.length));
+    callers.push(...createCallers(fleet, options, keys));
     const calling = callers.map((caller) => caller.run());
     const lanes = new FaultLanes({ fleet, hosts, signalAfterMs, sleep }, log, seed);
     await lanes.run(LANES + Math.floor(hosts.length / HOSTS_PER_LANE), performance.now() + faultMs);
@@ -144,9 +167,14 @@
         arrivals.map((arrival) => ({ ...arrival, server, service: fleet.serviceOf(server) })),
       ),
       hosts,
+      keys: keys?.lives ?? new Map(),
     };
     checkCalls(records, log);
     checkWishes(records, log);
+    for (const [server, { received }] of fleet.platform.servers)
+      for (const { id, headers } of received)
+        if (headers.some(([name]) => name === 'authorization'))
+          log.add('LEAKED', `${id} reached ${server} with a key`);
     checkRecovery(records, calmSince, log);
     for (const { brokenConnections } of callers)
       if (brokenConnections > 0)
--- a/soak/balancers/soakFleet.ts
+++ b/soak/balancers/soakFleet.ts
@@ -6,6 +6,7 @@
 import { TestPlatform } from '../../test/support/testPlatform';
 
 import { type FleetServer } from './fleetServer';
+import { type SoakKeys } from './soakKeys';
 
 const SERVICES = [
   { prefix: '/book-slow/', service: 'book-slow', workMs: 300, isIdempotent: false },
@@ -29,6 +30,8 @@
   readonly settings: Readonly<Record<string, string>>;
   /** Arguments of Node.js for each host; null for the program as built. */
   readonly command: readonly string[] | null;
+  /** Keys of callers; null when the configuration has no tenants. */
+  readonly keys: SoakKeys | null;
 }
 
 /** The store, the servers and the processes of the hosts of a soak run. */
@@ -85,15 +88,27 @@
     });
   }
 
+  /** Whether the configuration has tenants. */
+  hasKeys(): boolean {
+    return this.options.keys !== null;
+  }
+
+  /** Replaces a key of a caller by a new one; null without keys. */
+  replaceKey(random: Random): string | null {
+    return this.options.keys?.replace(random, () => this.publish(0)) ?? null;
+  }
+
   /** Publishes a new version of the configuration with some additional routes. */
   publish(extraRoutes: number): void {
     const extra = Array.from({ length: extraRoutes }, (_, index) => ({
       ...{ prefix: `/extra-${index}/`, service: 'read-slow', isIdempotent: true },
     }));
-    this.platform.configure([
-      ...SERVICES.map((route) => ({ ...route, timeLimitMs: TIME_LIMIT_MS })),
-      ...extra,
-    ]);
+    const { keys } = this.options;
+    const routes = SERVICES.map((route) => ({ ...route, timeLimitMs: TIME_LIMIT_MS }));
+    const open = routes.map((route) => ({ ...route, isPublic: keys !== null }));
+    const keyed = routes.map((route) => ({ ...route, prefix: `/keyed-${route.prefix.slice(1)}` }));
+    const all = [...open, ...(keys === null ? [] : keyed), ...extra];
+    this.platform.configure(all, {}, keys?.tenants() ?? null);
   }
 
   /** Starts a server of a service and registers it, at a free port unless told otherwise. */
--- a/soak/balancers/sourceFaults.ts
+++ b/soak/balancers/sourceFaults.ts
@@ -58,6 +58,14 @@
   }
 };
 
+/** Faults of the keys of callers, by name. */
+export const KEY_FAULTS: Readonly<Record<string, BalancerFault>> = {
+  'key replaced': ({ fleet, random, note }) => {
+    note(fleet.replaceKey(random) ?? 'none');
+    return Promise.resolve();
+  },
+};
+
 /** Faults of the store, and changes of the configuration in it, by name. */
 export const SOURCE_FAULTS: Readonly<Record<string, BalancerFault>> = {
   'store away': away,
--- a/test/balancer/faultSoak.test.ts
+++ b/test/balancer/faultSoak.test.ts
@@ -6,6 +6,8 @@
 // A SIGHUP ends a process in which Node.js itself still starts (KNOWN-RED.txt), however long that takes
 // on a busy machine. Signals are sent from the first line of a process on, or from this age.
 const SIGNAL_AFTER_MS = Number(process.env.SOAK_SIGNAL_AFTER_MS ?? Infinity);
+// Off by default, since hosts do not yet prove that their keys are current (docs/design/tenants-and-load.md, B).
+const HAS_KEYS = process.env.SOAK_KEYS === '1';
 const OUTPUT_FOLDER = process.env.SOAK_OUTPUT ?? null;
 const COMMAND = process.env.SOAK_COMMAND?.split(' ') ?? null;
 
@@ -18,7 +20,7 @@
       const options = { hosts: HOSTS, faultMs: SOAK_MS, signalAfterMs: SIGNAL_AFTER_MS };
       const result = await runFaultSoak({
         ...options,
-        ...{ seed, command: COMMAND, outputFolder: OUTPUT_FOLDER },
+        ...{ seed, hasKeys: HAS_KEYS, command: COMMAND, outputFolder: OUTPUT_FOLDER },
       });
       const { calls, faults, log, runs, slowestReadyMs, slowestTurnMs, succeeded } = result;
       const counts = [...faults].map(([name, count]) => `${name} ${count}`).join(', ');
--- a/test/balancer/soakChecks.test.ts
+++ b/test/balancer/soakChecks.test.ts
@@ -28,8 +28,21 @@
   const findings = new FindingLog();
   const records: CallRecords = {
     hosts: [{ name: 'host-0', history }],
+    keys: new Map([
+      ['old', { publishedAt: -Infinity, withdrawnAt: 50 }],
+      ['new', { publishedAt: 50, withdrawnAt: Infinity }],
+      ['lasting', { publishedAt: -Infinity, withdrawnAt: Infinity }],
+    ]),
     calls: calls.map((call) => ({
-      ...{ id: 'c', host: 0, service: 'book', isIdempotent: false, sentAt: 0, answer: null },
+      ...{
+        id: 'c',
+        host: 0,
+        service: 'book',
+        isIdempotent: false,
+        key: null,
+        sentAt: 0,
+        answer: null,
+      },
       ...{ isBehindAnother: false, wasConnected: true, answeredAt: null, closedAt: 1e9 },
       ...call,
     })),
@@ -55,6 +68,21 @@
     ['a success that is cut off', ['MIXED'], [answered(200, 'answer of i to')], [RAN]],
     ['an answer to another call', ['MIXED'], [answered(200, 'answer of i to d')], [RAN]],
     ['404 for a route that exists', ['DENIED'], [answered(404, 'no route')], []],
+    [
+      'a run with a key withdrawn long before',
+      ['REVOKED'],
+      [{ ...WHOLE, key: 'old', sentAt: 5051 }],
+      [RAN],
+    ],
+    ['a run with a key withdrawn just before', [], [{ ...WHOLE, key: 'old', sentAt: 5049 }], [RAN]],
+    ['401 for a withdrawn key', [], [{ ...answered(401, ''), key: 'old' }], []],
+    ['401 for a key published just before', [], [{ ...answered(401, ''), key: 'new' }], []],
+    [
+      '401 for a key published long before',
+      ['DENIED'],
+      [{ ...answered(401, ''), key: 'lasting' }],
+      [],
+    ],
     ['a call that ran without an answer', ['LOST'], [{}], [RAN]],
     ['a call that was read without an answer', ['LOST'], [{}], []],
     ['a call that a log names', ['LOST'], [{ id: 'logged', closedAt: 50 }], []],
--- a/test/balancer/stopSoak.test.ts
+++ b/test/balancer/stopSoak.test.ts
@@ -22,7 +22,7 @@
 /** The processes of a soak run, which are stopped and started while callers use them. */
 class StoppedFleet {
   readonly fleet = new SoakFleet({
-    ...{ hosts: HOSTS, serversPerService: 2, zones: ['a'], command: null },
+    ...{ hosts: HOSTS, serversPerService: 2, zones: ['a'], command: null, keys: null },
     settings: { 'stop-grace-s': String(GRACE_S) },
   });
 
--- a/test/support/keptCall.ts
+++ b/test/support/keptCall.ts
@@ -7,6 +7,8 @@
   readonly host: number;
   readonly service: string;
   readonly isIdempotent: boolean;
+  /** Key in its `Authorization` header; null without one. */
+  readonly key: string | null;
   readonly sentAt: number;
   /** Whether a call before it on its connection had no answer when it was sent. */
   readonly isBehindAnother: boolean;
--- a/test/support/keptCaller.ts
+++ b/test/support/keptCaller.ts
@@ -15,6 +15,8 @@
   /** Whether it stops sending after an answer with `Connection: close`. */
   readonly heedsClose: boolean;
   readonly isIdempotent: boolean;
+  /** The key of its next call, which it sends on a route that needs one; none if absent. */
+  readonly pickKey?: (random: Random) => string;
 }
 
 /** A caller that keeps each connection until it is gone, and then opens one to another host. */
@@ -88,24 +90,26 @@
   }
 
   private sendBatch(caller: RawCaller, host: number, sent: KeptCall[]): void {
-    const { batch, isIdempotent } = this.habits;
+    const { batch, isIdempotent, pickKey } = this.habits;
     for (let index = 0; index < batch; index += 1) {
       const id = `${this.name}-${this.calls.length}`;
       const pace = this.random.next() < 0.5 ? 'slow' : 'quick';
       const service = `${isIdempotent ? 'read' : 'book'}-${pace}`;
+      const key = pickKey?.(this.random) ?? null;
       const call: KeptCall = {
-        ...{ id, host, service, isIdempotent, sentAt: performance.now() },
+        ...{ id, host, service, isIdempotent, key, sentAt: performance.now() },
         isBehindAnother: sent.some(({ answer }) => answer === null),
         ...{ answer: null, answeredAt: null, wasConnected: false, closedAt: null },
       };
       this.calls.push(call);
       sent.push(call);
-      const start = `${isIdempotent ? 'GET' : 'POST'} /${service}/x`;
+      const start = `${isIdempotent ? 'GET' : 'POST'} /${key === null ? '' : 'keyed-'}${service}/x`;
       const body = isIdempotent ? '' : 'seat';
       const length = isIdempotent ? '' : `Content-Length: ${body.length}\r\n`;
+      const authorization = key === null ? '' : `Authorization: Bearer ${key}\r\n`;
       caller.write(
         `${start} HTTP/1.1\r\nHost: test.example\r\nRequest-Id: ${id}\r\n` +
-          `Deadline-Ms: ${TIMEOUT_MS}\r\n${length}\r\n${body}`,
+          `Deadline-Ms: ${TIMEOUT_MS}\r\n${authorization}${length}\r\n${body}`,
       );
     }
   }
