Measure normal load on targets with few slots

Cause: late calls under normal load in zones of 25 hosts were seen on deployments only.

Change: calm-load plays that load on the fleet model with its simulated network, whose hosts now count the connections that they open.

--- a/measure/measureOptions.ts
+++ b/measure/measureOptions.ts
@@ -21,11 +21,16 @@
     .string()
     .default('1000,3000')
     .transform((list) => list.split(',').map(Number)),
-  /** Fleet sizes of control-cost and target-wishes, separated by commas. */
+  /** Fleet sizes of control-cost and target-wishes, hosts in a zone of calm-load, separated by commas. */
   sizes: z
     .string()
     .default('3,9,17,33')
     .transform((list) => list.split(',').map(Number)),
+  /** Slots of the targets of calm-load, separated by commas. */
+  slots: z
+    .string()
+    .default('1,2,3,6')
+    .transform((list) => list.split(',').map(Number)),
   alternations: z.coerce.number().int().min(1).default(5),
 });
 
--- a/measure/measurements/index.ts
+++ b/measure/measurements/index.ts
@@ -1,6 +1,7 @@
 import { type Measurement } from '../measurement';
 
 import { addedLatency } from './addedLatency';
+import { calmLoad } from './calmLoad';
 import { coldStart } from './coldStart';
 import { configSpread } from './configSpread';
 import { controlCost } from './controlCost';
@@ -19,6 +20,7 @@
   'added-latency': addedLatency,
   stragglers,
   'fail-fast': failFast,
+  'calm-load': calmLoad,
   'cold-start': coldStart,
   'overload-priority': overloadPriority,
   'load-shift': loadShift,
--- a/standins/fleet/index.ts
+++ b/standins/fleet/index.ts
@@ -8,6 +8,7 @@
 export { type KindReport, type ModelReport } from './modelReport';
 export { ModelCallers } from './modelCallers';
 export { modelCatalog } from './modelCatalog';
+export { ModelConnections } from './modelConnections';
 export { ModelHost } from './modelHost';
 export { ModelTarget } from './modelTarget';
 export { ActiveDisturbances } from './activeDisturbances';
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -27,6 +27,7 @@
 import { CrashTable } from '../../src/suspects';
 
 import { ModelAttempt } from './modelAttempt';
+import { type ModelConnections } from './modelConnections';
 import { type ModelEnd, type ModelTarget } from './modelTarget';
 
 /** Dependencies of a modelled host. */
@@ -53,6 +54,8 @@
   readonly onLeaving?: (target: LeavingTarget) => void;
   /** Called when a call has reached a target, before the target runs it. */
   readonly onArrival?: (call: IncomingCall, target: ModelTarget) => void;
+  /** Connections to the targets; by default there is always an idle one. */
+  readonly connections?: ModelConnections;
 }
 
 const NO_HEADERS = {};
@@ -106,7 +109,7 @@
       work: new WorkEstimates(),
       lastSlotSlowdowns: new LastSlotSlowdowns(),
       preference: subsets ?? { has: () => true, version: () => 0 },
-      isConnected: () => true,
+      isConnected: (target) => environment.connections?.hasIdle(target.id) ?? true,
       callShare: (target, rate) =>
         callShare(target.id, target.zone === zone, rate, {
           hostId: id,
@@ -206,10 +209,15 @@
     const oneWayDelayMs = this.environment.oneWayDelayMs(this.zone, target.zone);
     const attempt: ModelAttempt = new ModelAttempt(call, target, {
       ...{ clock, model, oneWayDelayMs, workMs: this.environment.workMsOf(call) },
-      maySend: () => !this.hasStopped,
+      maySend: () => {
+        if (!this.hasStopped) this.environment.connections?.take(target.id);
+        return !this.hasStopped;
+      },
       onArrival: () => this.environment.onArrival?.(call, model),
       onEnd: (kind) => {
         this.runningAttempts.delete(attempt);
+        if (kind !== 'reset' && kind !== 'aborted')
+          this.environment.connections?.release(target.id);
         if (kind !== 'reset' && kind !== 'aborted') {
           observer.onHead(attempt, this.head(model, call, kind));
         }
--- a/test/load/networkedFleet.ts
+++ b/test/load/networkedFleet.ts
@@ -3,6 +3,7 @@
 import { ManualClock, SeededRandom } from '../../src/runtime';
 import {
   ActiveDisturbances,
+  type KindReport,
   ModelCallers,
   type ModelOptions,
   ModelTarget,
@@ -121,6 +122,16 @@
     return inTime / (inTime + late + unserved);
   }
 
+  /** Outcomes of the calls, by kind. */
+  outcomes(): Readonly<Record<string, KindReport>> {
+    return this.callers.kinds();
+  }
+
+  /** Connections that the live hosts have opened for calls. */
+  openedConnections(): number {
+    return [...this.hosts.values()].reduce((sum, host) => sum + host.connections.opened, 0);
+  }
+
   /** Ids of the live hosts. */
   liveHosts(): readonly string[] {
     return [...this.hosts.keys()];
--- a/test/load/networkedHost.ts
+++ b/test/load/networkedHost.ts
@@ -2,7 +2,7 @@
 import { type Exchange, type ExchangeParts, type HostAddress } from '../../src/exchange';
 import { identityKey, TargetSubsets } from '../../src/knowledge';
 import { MIN_ASSUMED_HOSTS } from '../../src/balancer/callShare';
-import { ModelHost, type ModelTarget } from '../../standins/fleet';
+import { ModelConnections, ModelHost, type ModelTarget } from '../../standins/fleet';
 import { type ModelEnvironment } from '../../standins/fleet/modelHost';
 
 // A target that no host has confirmed is checked at this interval, as by `ProbeTable`.
@@ -32,6 +32,8 @@
 
   readonly model: ModelHost;
 
+  readonly connections: ModelConnections;
+
   readonly subsets: TargetSubsets;
 
   private isDown = false;
@@ -50,8 +52,10 @@
         .map(({ id }) => id),
     ];
     this.subsets = new TargetSubsets({ hostId: address.id, zone: address.zone, hosts });
+    this.connections = new ModelConnections(parts.clock);
     this.model = new ModelHost(address.id, address.zone, {
       ...parts,
+      connections: this.connections,
       subsets: this.subsets,
       catalog: () => ledger.catalog(),
       hostCount: () => Math.max(MIN_ASSUMED_HOSTS, membership().maxLiveHostCount()),
--- a/test/load/wishRecords.ts
+++ b/test/load/wishRecords.ts
@@ -51,6 +51,11 @@
     this.firstKnownAt = Math.min(this.firstKnownAt, at);
   }
 
+  /** Arrivals at all targets from `from` to before `to`. */
+  all(from: number, to: number): readonly WishArrival[] {
+    return this.arrivals.filter(({ at }) => at >= from && at < to);
+  }
+
   /** Arrivals at a target from `from` to before `to`. */
   between(target: string, from: number, to: number): readonly WishArrival[] {
     return this.arrivals.filter(
