Tell up to 17 users of a target each other's calls in flight

Cause: in zones of more than 9 hosts the users of a target told each other their calls only where they were at most nine. With 2 slots and 25 hosts a zone there are about 20, who filled the same targets on reports of up to 250 ms of age.

Change: a target has at most 17 users where each host still has three targets of its service, and up to 17 users send each other their counts. A pace that another of them has just reported is not reported again, which pays for the counts. Zones of up to 9 hosts and targets with more users are as before.

Processor time was not measured.

--- a/src/balancer/fleetKnowledge.ts
+++ b/src/balancer/fleetKnowledge.ts
@@ -150,7 +150,11 @@
           after,
         ),
       onReports: (reports) => {
-        for (const report of reports) this.applyReport(report);
+        for (const report of reports) {
+          this.applyReport(report);
+          if (this.subsets.hasInFlightBroadcasts(identityKey(report.target)))
+            this.reportBroadcaster.recordReceived(report);
+        }
       },
       onInFlightCounts: (counts, shouldRebroadcast) => {
         const others = counts.filter(({ host }) => host !== ownHostKey);
--- a/src/knowledge/largeZone.ts
+++ b/src/knowledge/largeZone.ts
@@ -7,3 +7,10 @@
 export function isLargeZone(neighbours: number): boolean {
   return neighbours > MAX_BROADCAST_NEIGHBOURS;
 }
+
+/**
+ * Users of a target that tell each other their calls in flight. In the fleet model with 25 hosts a zone
+ * and targets of 2 slots, hosts send 3.4 KB/s with 13 users, 4.2 with 17 and 5.1 with 25 (`npm run
+ * measure -- calm-load`).
+ */
+export const MAX_COUNTED_USERS = 17;
--- a/src/knowledge/reportBroadcaster.ts
+++ b/src/knowledge/reportBroadcaster.ts
@@ -103,6 +103,18 @@
     });
   }
 
+  /**
+   * Records a report of another host on a target whose users tell each other their calls. In a large
+   * zone they need not be told a pace again that another of them has just sent; otherwise nearly each
+   * answer is reported, as a host sends few calls to one target. Without these counts the reports are
+   * also the only source of the load.
+   */
+  recordReceived({ target, observation, pace }: TargetReport): void {
+    if (!isLargeZone(this.sink.neighbourCount()) || pace === null) return;
+    if (observation !== 'answer' && observation !== 'probe') return;
+    this.lastSameZonePace.set(target, { pace, at: this.clock.now() });
+  }
+
   // Whether the limit of a target has changed, or holds and was not sent lately.
   private mustReportLimit({ target, callLimit }: TargetReport, hasLimitChanged: boolean): boolean {
     const now = this.clock.now();
--- a/src/knowledge/targetSubsets.ts
+++ b/src/knowledge/targetSubsets.ts
@@ -2,10 +2,11 @@
 import { rendezvousScore } from '../runtime';
 
 import { identityKey } from './identityKey';
-import { isLargeZone } from './largeZone';
+import { isLargeZone, MAX_COUNTED_USERS } from './largeZone';
 
 // Targets of each service that a host of a large zone uses on average: as many as have this number of
-// slots, so that one with a free slot and the usual pace is among them, and no fewer than the minimum.
+// slots, so that one with a free slot and the usual pace is among them, fewer where the users of a
+// target would be too many to tell each other their calls, and no fewer than the minimum.
 const PREFERRED_SLOTS = 18;
 const MIN_TARGETS_PER_HOST = 3;
 // Hosts that share a target at least, so that it is used while one of them stops or dies.
@@ -106,14 +107,11 @@
     return this.isActive() ? (this.sharersByKey.get(key) ?? []) : null;
   }
 
-  /**
-   * Whether the users of the target tell each other their calls in flight, which they do while they
-   * are as few as the hosts of a small zone.
-   */
+  /** Whether the users of the target tell each other their calls in flight. */
   hasInFlightBroadcasts(key: number): boolean {
     const sharers = this.sharersOfKey(key);
     if (sharers === null) return true;
-    return sharers.includes(this.view.hostId) && !isLargeZone(sharers.length - 1);
+    return sharers.includes(this.view.hostId) && sharers.length <= MAX_COUNTED_USERS;
   }
 
   private assign(): void {
@@ -125,8 +123,11 @@
     const counts = new Map<string, number>();
     for (const { service } of this.targets) counts.set(service, (counts.get(service) ?? 0) + 1);
     for (const target of this.targets) {
-      const targetsPerHost = Math.max(MIN_TARGETS_PER_HOST, PREFERRED_SLOTS / target.slots);
-      const wanted = (targetsPerHost * this.hosts.length) / counts.get(target.service)!;
+      const hostsPerTarget = this.hosts.length / counts.get(target.service)!;
+      const wanted = Math.max(
+        MIN_TARGETS_PER_HOST * hostsPerTarget,
+        Math.min(MAX_COUNTED_USERS, (PREFERRED_SLOTS / target.slots) * hostsPerTarget),
+      );
       const order = this.order(target.id);
       this.probers.set(target.id, order[0]!);
       const sharers = order.slice(0, Math.max(MIN_SHARERS, Math.ceil(wanted)));
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -12,6 +12,7 @@
   type RunningAttempt,
 } from '../../src/delivery';
 import {
+  identityKey,
   type InFlightCounts,
   InFlightBroadcaster,
   InFlightTable,
@@ -203,6 +204,13 @@
     this.reportBroadcaster.enqueue(report, hasLimitChanged);
   }
 
+  /** Applies a report of another host. */
+  receive(report: TargetReport): void {
+    this.targetStates.applyReport(report);
+    if (this.environment.subsets?.hasInFlightBroadcasts(identityKey(report.target)))
+      this.reportBroadcaster.recordReceived(report);
+  }
+
   private transmit(call: IncomingCall, target: Target, observer: AttemptObserver): RunningAttempt {
     const { clock } = this.environment;
     const model = this.environment.targets.get(target.id)!;
--- a/test/knowledge/largeZone.test.ts
+++ b/test/knowledge/largeZone.test.ts
@@ -136,6 +136,30 @@
   });
 });
 
+// Guards against hosts that report to all users of a target what another user has just reported.
+test.each([
+  ['large', 37, 1],
+  ['small', 8, 2],
+])('a pace that another host of a %s zone has sent', (_, neighbours, expected) => {
+  const clock = new ManualClock();
+  clock.advanceTo(1000);
+  let sent = 0;
+  const broadcaster = new ReportBroadcaster(clock, {
+    broadcastReports: (_reports, isCrossZone) => {
+      if (!isCrossZone) sent += 1;
+    },
+    neighbourCount: () => neighbours,
+    receiverCount: () => 5,
+  });
+  broadcaster.recordReceived(report(0, 1));
+  broadcaster.enqueue(report(0, 1), false);
+  clock.advanceBy(100);
+  // Another pace is sent.
+  broadcaster.enqueue({ ...report(0, 1), pace: 700 }, false);
+  clock.advanceBy(100);
+  expect(sent).toBe(expected);
+});
+
 // Guards against frequent health checks where calls may take seconds, and against exceeding the
 // operators' limit of 60 per second for a target of a service with a short latency objective.
 test('the probe interval follows the latency objective, with at most 23 probes per second', () => {
--- a/test/load/networkedHost.ts
+++ b/test/load/networkedHost.ts
@@ -88,7 +88,7 @@
       sharersOf: (target) => this.subsets.sharersOf(target),
       sharersOfKey: (key) => this.subsets.sharersOfKey(key),
       onReports: (reports) => {
-        for (const report of reports) targetStates.applyReport(report);
+        for (const report of reports) this.model.receive(report);
       },
       onInFlightCounts: (counts, shouldRebroadcast) => {
         const others = counts.filter(({ host }) => host !== ownKey);
