Use other zones' targets while all targets of a large zone are cold

Cause: in zones of more than 9 hosts a call was placed among targets of its own zone only, if that had four others, also while all of them were cold, limited or not known to be up.

Change: such a call is placed among a sample of other zones' targets too, before a cold target gets it. An overloaded zone does not do this.

--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -45,6 +45,14 @@
   return `${call.route.name} ${call.service}`;
 }
 
+// Whether all targets are cold, limited or not known to be up, so that those of other zones are needed.
+// An overloaded zone does not pass its load on.
+function findsNoTarget(placement: Placement): boolean {
+  return placement.kind === 'send'
+    ? placement.reason === 'onlyCold'
+    : placement.reason !== 'overloaded';
+}
+
 /** Builds candidates from the state of the targets and places calls on them. */
 export class Placer {
   readonly admission: TargetAdmission;
@@ -78,8 +86,12 @@
     const placement = this.placeAmong(preferred, call, requirements);
     if (placement.kind === 'send' && placement.hasRoom) return placement;
     const others = this.pool.sampleOthers(catalog, call.service).filter(mayGet);
-    if (others.length === 0) return placement;
-    return this.placeAmong([...preferred, ...others], call, requirements);
+    const known = [...preferred, ...others];
+    const wider = others.length === 0 ? placement : this.placeAmong(known, call, requirements);
+    if (!findsNoTarget(wider)) return wider;
+    const otherZones = this.pool.sampleOtherZones(catalog, call.service).filter(mayGet);
+    if (otherZones.length === 0) return wider;
+    return this.placeAmong([...known, ...otherZones], call, requirements);
   }
 
   private placeAmong(
--- a/src/delivery/targetPool.ts
+++ b/src/delivery/targetPool.ts
@@ -17,6 +17,8 @@
   readonly preferred: readonly Target[];
   /** The targets to sample when no preferred one has room, those of this zone before others. */
   readonly others: readonly Target[];
+  /** The targets of other zones, unless they are among the others. */
+  readonly otherZones: readonly Target[];
 }
 
 /**
@@ -39,11 +41,19 @@
 
   /** A random sample of the usable targets that are not preferred. */
   sampleOthers(catalog: Catalog, service: string): readonly Target[] {
-    const { others } = this.targetsOf(catalog, service);
-    if (others.length <= MAX_SAMPLED_TARGETS) return others;
-    const first = this.random.integer(others.length);
-    const sample = others.slice(first, first + MAX_SAMPLED_TARGETS);
-    return [...sample, ...others.slice(0, MAX_SAMPLED_TARGETS - sample.length)];
+    return this.sample(this.targetsOf(catalog, service).others);
+  }
+
+  /** A random sample of the usable targets of other zones that `sampleOthers` leaves out. */
+  sampleOtherZones(catalog: Catalog, service: string): readonly Target[] {
+    return this.sample(this.targetsOf(catalog, service).otherZones);
+  }
+
+  private sample(targets: readonly Target[]): readonly Target[] {
+    if (targets.length <= MAX_SAMPLED_TARGETS) return targets;
+    const first = this.random.integer(targets.length);
+    const sample = targets.slice(first, first + MAX_SAMPLED_TARGETS);
+    return [...sample, ...targets.slice(0, MAX_SAMPLED_TARGETS - sample.length)];
   }
 
   private targetsOf(catalog: Catalog, service: string): ServiceTargets {
@@ -56,8 +66,10 @@
     const preferred = usable.filter((target) => this.preference.has(target.id));
     const rest = usable.filter((target) => !this.preference.has(target.id));
     const near = rest.filter((target) => target.zone === this.zone);
-    const others = near.length >= MIN_SAMPLED_TARGETS ? near : rest;
-    const sorted = { catalog, version, preferred, others };
+    const hasNear = near.length >= MIN_SAMPLED_TARGETS;
+    const others = hasNear ? near : rest;
+    const otherZones = hasNear ? rest.filter((target) => target.zone !== this.zone) : [];
+    const sorted = { catalog, version, preferred, others, otherZones };
     this.byService.set(service, sorted);
     return sorted;
   }
--- a/test/delivery/targetPool.test.ts
+++ b/test/delivery/targetPool.test.ts
@@ -55,6 +55,16 @@
     expect([...zones]).toEqual(['b']);
   });
 
+  // Guards against calls that are refused while all targets of this zone are cold and others are not.
+  it('are also known in other zones while this one has some', () => {
+    const pool = createPool();
+    const sample = pool.sampleOtherZones(catalogOf(40), 's');
+    expect(sample).toHaveLength(12);
+    expect(sample.every(({ zone }) => zone === 'b')).toBe(true);
+    // With few others in this zone, the sample of these has other zones' targets already.
+    expect(pool.sampleOtherZones(catalogOf(12), 's')).toEqual([]);
+  });
+
   // Guards against a sample that leaves out some of the targets for good.
   it('include each other target at times', () => {
     const pool = createPool();
--- a/test/load/calmScenario.ts
+++ b/test/load/calmScenario.ts
@@ -32,6 +32,8 @@
   /** Shares of the calls that were answered after their objective, and that were not answered. */
   readonly late: number;
   readonly unserved: number;
+  /** Refusals of hosts, from the first call on, of which callers retry some. */
+  readonly refusals: number;
   /** Calls at the busiest target of each service against the mean, on average. */
   readonly busiestToMean: number;
   /** Share of the attempts that found another call at their target. */
@@ -124,6 +126,7 @@
     calls,
     late: count('late') / calls,
     unserved: count('unserved') / calls,
+    refusals: fleet.refusals,
     busiestToMean: busiestToMean(callsByTarget, fleet),
     shared: arrivals.filter(({ load }) => load > 1).length / arrivals.length,
     connections: (after.connections - before.connections) / calls,
--- a/test/load/networkedFleet.ts
+++ b/test/load/networkedFleet.ts
@@ -53,6 +53,9 @@
 
   private readonly catalog: Catalog;
 
+  /** Answers of hosts that say that a call was not run. */
+  refusals = 0;
+
   private starts = 0;
 
   constructor(private readonly options: NetworkedFleetOptions) {
@@ -171,6 +174,7 @@
     const ready = [...this.hosts.values()].filter((host) => host.isReady());
     const host = ready[this.random.integer(ready.length)]!;
     const end = await host.model.run(call);
+    if (end.kind === 'own' && end.own.kind === 'notRun') this.refusals += 1;
     if (end.kind === 'answer' && end.answer.head.metadata.isLeaving) {
       const { target } = end.answer.head.metadata;
       this.records.recordPassedOn(host.name, target!, this.clock.now());
