--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -12,6 +12,7 @@
   type RunningAttempt,
 } from '../../src/delivery';
 import {
+  identityKey,
   type InFlightCounts,
   InFlightBroadcaster,
   InFlightTable,
@@ -27,6 +28,7 @@
 import { CrashTable } from '../../src/suspects';
 
 import { ModelAttempt } from './modelAttempt';
+import { type ModelConnections } from './modelConnections';
 import { type ModelEnd, type ModelTarget } from './modelTarget';
 
 /** Dependencies of a modelled host. */
@@ -53,6 +55,8 @@
   readonly onLeaving?: (target: LeavingTarget) => void;
   /** Called when a call has reached a target, before the target runs it. */
   readonly onArrival?: (call: IncomingCall, target: ModelTarget) => void;
+  /** Connections to the targets; by default there is always an idle one. */
+  readonly connections?: ModelConnections;
 }
 
 const NO_HEADERS = {};
@@ -106,7 +110,7 @@
       work: new WorkEstimates(),
       lastSlotSlowdowns: new LastSlotSlowdowns(),
       preference: subsets ?? { has: () => true, version: () => 0 },
-      isConnected: () => true,
+      isConnected: (target) => environment.connections?.hasIdle(target.id) ?? true,
       callShare: (target, rate) =>
         callShare(target.id, target.zone === zone, rate, {
           hostId: id,
@@ -200,16 +204,28 @@
     this.reportBroadcaster.enqueue(report, hasLimitChanged);
   }
 
+  /** Applies a report of another host. */
+  receive(report: TargetReport): void {
+    this.targetStates.applyReport(report);
+    if (this.environment.subsets?.hasInFlightBroadcasts(identityKey(report.target)))
+      this.reportBroadcaster.recordReceived(report);
+  }
+
   private transmit(call: IncomingCall, target: Target, observer: AttemptObserver): RunningAttempt {
     const { clock } = this.environment;
     const model = this.environment.targets.get(target.id)!;
     const oneWayDelayMs = this.environment.oneWayDelayMs(this.zone, target.zone);
     const attempt: ModelAttempt = new ModelAttempt(call, target, {
       ...{ clock, model, oneWayDelayMs, workMs: this.environment.workMsOf(call) },
-      maySend: () => !this.hasStopped,
+      maySend: () => {
+        if (!this.hasStopped) this.environment.connections?.take(target.id);
+        return !this.hasStopped;
+      },
       onArrival: () => this.environment.onArrival?.(call, model),
       onEnd: (kind) => {
         this.runningAttempts.delete(attempt);
+        if (kind !== 'reset' && kind !== 'aborted')
+          this.environment.connections?.release(target.id);
         if (kind !== 'reset' && kind !== 'aborted') {
           observer.onHead(attempt, this.head(model, call, kind));
         }
--- a/test/load/networkedFleet.ts
+++ b/test/load/networkedFleet.ts
@@ -3,6 +3,7 @@
 import { ManualClock, SeededRandom } from '../../src/runtime';
 import {
   ActiveDisturbances,
+  type KindReport,
   ModelCallers,
   type ModelOptions,
   ModelTarget,
@@ -52,6 +53,9 @@
 
   private readonly catalog: Catalog;
 
+  /** Answers of hosts that say that a call was not run. */
+  refusals = 0;
+
   private starts = 0;
 
   constructor(private readonly options: NetworkedFleetOptions) {
@@ -121,6 +125,16 @@
     return inTime / (inTime + late + unserved);
   }
 
+  /** Outcomes of the calls, by kind. */
+  outcomes(): Readonly<Record<string, KindReport>> {
+    return this.callers.kinds();
+  }
+
+  /** Connections that the live hosts have opened for calls. */
+  openedConnections(): number {
+    return [...this.hosts.values()].reduce((sum, host) => sum + host.connections.opened, 0);
+  }
+
   /** Ids of the live hosts. */
   liveHosts(): readonly string[] {
     return [...this.hosts.keys()];
@@ -160,6 +174,7 @@
     const ready = [...this.hosts.values()].filter((host) => host.isReady());
     const host = ready[this.random.integer(ready.length)]!;
     const end = await host.model.run(call);
+    if (end.kind === 'own' && end.own.kind === 'notRun') this.refusals += 1;
     if (end.kind === 'answer' && end.answer.head.metadata.isLeaving) {
       const { target } = end.answer.head.metadata;
       this.records.recordPassedOn(host.name, target!, this.clock.now());
