Bound the time of calls whose rank is between the priorities

Cause: the factor that bounds the expected time of a call by the time left was read from a table indexed by the rank. With three priorities the middle one has rank 0.5, the table yields undefined, the comparison is false, and the call is sent although its answer comes too late.

Change: the factor is interpolated between those of the most and the least urgent rank, which keep 1.5 and 1.

Result: chooseTarget.test.ts fails before for rank 0.5 (sent with 78 and with 50 ms left for 101 ms expected) and passes after; all 51 tests of test/placement pass.

--- a/src/placement/chooseTarget.ts
+++ b/src/placement/chooseTarget.ts
@@ -27,8 +27,9 @@
 // refused: it would only delay the calls behind it, and its caller can come back after the queue
 // has drained.
 const MAX_QUEUE_TIME_FACTOR = 1.5;
-// A call is sent only if its expected time is within this multiple of the time left, by rank.
-const MAX_EXPECTED_TIME_FACTOR_BY_RANK: readonly number[] = [1.5, 1];
+// A call is sent only if its expected time is within this multiple of the time left. Ranks between
+// the two, which occur with three priorities, get a factor between them.
+const MAX_EXPECTED_TIME_FACTOR = { mostUrgent: 1.5, leastUrgent: 1 } as const;
 
 // Below this slowdown of full targets, a service uses all slots without waiting.
 const NEGLIGIBLE_SLOWDOWN = 1.15;
@@ -43,6 +44,11 @@
 // A call waits for the limit of a target to allow it for at most this share of its objective.
 const MAX_LIMITED_WAIT_OBJECTIVES = 1 / 8;
 
+function maxExpectedTimeFactor(rank: number): number {
+  const { mostUrgent, leastUrgent } = MAX_EXPECTED_TIME_FACTOR;
+  return mostUrgent + (leastUrgent - mostUrgent) * rank;
+}
+
 interface RatedCandidate {
   readonly candidate: Candidate;
   readonly expectedMs: number;
@@ -156,8 +162,8 @@
       Math.max(requirements.objectiveLeftMs, requirements.workMs) * MAX_QUEUE_TIME_FACTOR
   )
     return refusal;
-  const maxTimeFactor = MAX_EXPECTED_TIME_FACTOR_BY_RANK[Math.min(requirements.rank, 1)]!;
-  if (best.expectedMs > requirements.leftMs * maxTimeFactor) return refusal;
+  if (best.expectedMs > requirements.leftMs * maxExpectedTimeFactor(requirements.rank))
+    return refusal;
   return {
     kind: 'send',
     target: best.candidate.target,
--- a/test/placement/chooseTarget.test.ts
+++ b/test/placement/chooseTarget.test.ts
@@ -47,6 +47,19 @@
 }
 
 describe('choice of a target', () => {
+  // Guards against a bound that holds for two priorities only: with three, the rank of the middle one
+  // had none, and its calls were sent although no answer could be in time.
+  it.each([
+    [0, 'send', 'refuse'],
+    [0.5, 'refuse', 'refuse'],
+    [1, 'refuse', 'refuse'],
+  ])('refuses a call of rank %d whose answer would come too late', (rank, at80, at50) => {
+    const target = candidate({ pace: 100 });
+    const kindWith = (leftMs: number) =>
+      chooseTarget([target], { ...REQUIREMENTS, rank, leftMs }, new SeededRandom(1)).kind;
+    expect([kindWith(200), kindWith(78), kindWith(50)]).toEqual(['send', at80, at50]);
+  });
+
   // Load pattern: a third of the targets are seven times slower for half a second at a time.
   it('avoids a target that is slow at the moment', () => {
     const slow = candidate({ target: 'slow', pace: 700 });
