--- a/standins/fleet/activeDisturbances.ts
+++ b/standins/fleet/activeDisturbances.ts
@@ -20,8 +20,10 @@
     );
   }
 
-  /** Multiplier of the usual call rate. */
-  loadFactor(): number {
-    return this.active('burst').reduce((factor, burst) => factor * burst.factor, 1);
+  /** Multiplier of the usual call rate of a kind of calls. */
+  loadFactor(kind: string): number {
+    return this.active('burst')
+      .filter(({ only = kind }) => only === kind)
+      .reduce((factor, burst) => factor * burst.factor, 1);
   }
 }
--- a/standins/fleet/deployments.ts
+++ b/standins/fleet/deployments.ts
@@ -65,3 +65,33 @@
     },
   ],
 };
+
+function saleService(name: string, targets: readonly number[]): ModelService {
+  return {
+    ...{ name, targets, slots: 2, queueLimit: 4, whenFull: 'refuse', kneeFactor: 1, kneeShare: 1 },
+    noise: { share: 0.25, factor: 7, everyMs: 500 },
+  };
+}
+
+/** Sales: urgent lookups and sales, with uploads that run at the targets of both and can wait. */
+export const SALES: Deployment = {
+  zones: ['a', 'b'],
+  hosts: [10, 10],
+  hasInFlightBroadcasts: false,
+  services: [saleService('lookups', [5, 5]), saleService('sales', [5, 5])],
+  kinds: [
+    {
+      ...{ name: 'lookup', service: 'lookups', perSecond: 55, workMs: 69 },
+      ...{ objectiveMs: 231, timeLimitMs: 900, isIdempotent: true, priority: 0, retries: 1 },
+    },
+    {
+      ...{ name: 'sale', service: 'sales', perSecond: 42, workMs: 90 },
+      ...{ objectiveMs: 283, timeLimitMs: 1100, isIdempotent: false, priority: 1, retries: 1 },
+    },
+    {
+      ...{ name: 'upload', service: 'lookups', otherServices: ['sales'], perSecond: 80 },
+      ...{ workMs: 83, objectiveMs: 1500, timeLimitMs: 4000, isIdempotent: false, priority: 2 },
+      retries: 1,
+    },
+  ],
+};
--- a/standins/fleet/fleetModel.ts
+++ b/standins/fleet/fleetModel.ts
@@ -90,6 +90,9 @@
       random: new SeededRandom(this.random.integer(2 ** 30)),
       catalog: () => this.catalog,
       targets: this.targets,
+      ...(options.hasInFlightBroadcasts === undefined
+        ? {}
+        : { hasInFlightBroadcasts: options.hasInFlightBroadcasts }),
       hostCount: () => Math.max(20, this.totalHostCount()),
       neighbourCount: () => options.hosts[options.zones.indexOf(zone)]! - 1,
       zoneHosts: () => this.hosts.filter((other) => other.zone === zone).map((other) => other.id),
--- a/standins/fleet/index.ts
+++ b/standins/fleet/index.ts
@@ -11,4 +11,4 @@
 export { ModelHost } from './modelHost';
 export { ModelTarget } from './modelTarget';
 export { ActiveDisturbances } from './activeDisturbances';
-export { COURSES, ROUNDS } from './deployments';
+export { COURSES, ROUNDS, SALES } from './deployments';
--- a/standins/fleet/modelCallers.ts
+++ b/standins/fleet/modelCallers.ts
@@ -46,7 +46,8 @@
         if (clock.now() >= endMs) return;
         this.startCall(kind);
         const gapMs =
-          -Math.log(1 - random.next()) * (1000 / kind.perSecond / disturbances.loadFactor());
+          -Math.log(1 - random.next()) *
+          (1000 / kind.perSecond / disturbances.loadFactor(kind.name));
         clock.setTimer(clock.now() + gapMs, callNext);
       };
       clock.setTimer(200 + random.next() * 20, callNext);
@@ -116,6 +117,7 @@
   private send(kind: ModelKind, workMs: number): Promise<CallEnd> {
     const now = this.parts.clock.now();
     this.nextId += 1;
+    const services = [kind.service, ...(kind.otherServices ?? [])];
     const call: IncomingCall = {
       ...{
         id: `call-${this.nextId}`,
@@ -126,7 +128,7 @@
       },
       ...{
         route: this.parts.catalog.routes.find('model', `/${kind.name}/`)!,
-        service: kind.service,
+        service: services[this.nextId % services.length]!,
       },
       ...{
         arrivedAt: now,
--- a/standins/fleet/modelCatalog.ts
+++ b/standins/fleet/modelCatalog.ts
@@ -16,7 +16,7 @@
     ...{ isIdempotent: kind.isIdempotent, timeLimitMs: kind.timeLimitMs },
     ...{ latencyObjectiveMs: kind.objectiveMs, priority: kind.priority, mostAttempts: 2 },
     isPublic: false,
-    parts: [{ service: kind.service, weight: 1 }],
+    parts: [kind.service, ...(kind.otherServices ?? [])].map((service) => ({ service, weight: 1 })),
   }));
   const configuration: Configuration = {
     ...{ version: 1, routes },
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -47,6 +47,8 @@
     counts: readonly InFlightCounts[],
     isCrossZone: boolean,
   ) => void;
+  /** Whether hosts tell each other their in-flight counts; by default they do. */
+  readonly hasInFlightBroadcasts?: boolean;
   /** Which hosts share a target; by default all hosts use all targets. */
   readonly subsets?: TargetSubsets;
   /** Called when an answer or a health check is the first to say that a target is leaving. */
@@ -80,7 +82,8 @@
   ) {
     const { clock, random, catalog } = environment;
     const { neighbourCount, subsets, onLeaving = () => {} } = environment;
-    const hasInFlightBroadcasts = (key: number) => subsets?.hasInFlightBroadcasts(key) ?? true;
+    const hasInFlightBroadcasts = (key: number) =>
+      subsets?.hasInFlightBroadcasts(key) ?? environment.hasInFlightBroadcasts ?? true;
     this.inFlightCounts = new InFlightTable(clock);
     this.inFlightBroadcaster = new InFlightBroadcaster(clock, id, {
       broadcastInFlightCounts: (counts, isCrossZone) =>
--- a/standins/fleet/modelOptions.ts
+++ b/standins/fleet/modelOptions.ts
@@ -18,6 +18,8 @@
 export interface ModelKind {
   readonly name: string;
   readonly service: string;
+  /** Further services that run this kind, each as many calls as the first; none by default. */
+  readonly otherServices?: readonly string[];
   readonly perSecond: number;
   readonly workMs: number;
   readonly objectiveMs: number;
@@ -30,8 +32,14 @@
 
 /** A change of the load or of the targets from second `at` to second `until` of a run. */
 export type ModelDisturbance =
-  /** Multiplies the call rate by `factor`. */
-  | { readonly kind: 'burst'; readonly at: number; readonly until: number; readonly factor: number }
+  /** Multiplies the call rate by `factor`, for all kinds of calls or only the one named `only`. */
+  | {
+      readonly kind: 'burst';
+      readonly at: number;
+      readonly until: number;
+      readonly factor: number;
+      readonly only?: string;
+    }
   /** Slows a share of all targets by `factor`. */
   | {
       readonly kind: 'slow';
@@ -66,6 +74,8 @@
   readonly zones: readonly string[];
   /** Hosts in each zone, in the order of the zones. */
   readonly hosts: readonly number[];
+  /** Whether hosts tell each other their in-flight counts, which large zones don't; true by default. */
+  readonly hasInFlightBroadcasts?: boolean;
   readonly services: readonly ModelService[];
   readonly kinds: readonly ModelKind[];
   readonly disturbances: readonly ModelDisturbance[];
