--- a/src/balancer/callPath.ts
+++ b/src/balancer/callPath.ts
@@ -149,6 +149,7 @@
       counters: {
         attempt: (service) => metrics.increment(BALANCER_METRICS.attempts, 1, { service }),
         retry: (service) => metrics.increment(BALANCER_METRICS.retries, 1, { service }),
+        yielded: (service) => metrics.increment(BALANCER_METRICS.yields, 1, { service }),
         connection: () => this.countConnection(),
         attemptTime: (service, milliseconds) =>
           metrics.timing(BALANCER_METRICS.attemptTime, milliseconds, { service }),
@@ -172,8 +173,16 @@
     metrics.timing(BALANCER_METRICS.callTime, elapsedMs, { route });
     if (end.kind === 'own' && end.own.kind === 'rejected' && end.own.status === 401)
       metrics.increment(BALANCER_METRICS.unauthorized);
-    if (call === null || call.tenant === null) return;
+    if (call === null) return;
+    this.countRefusal(call, end);
+    if (call.tenant === null) return;
     const tenant = this.tenantLabels.of(call.tenant.name);
     metrics.increment(BALANCER_METRICS.tenantCalls, 1, { tenant, outcome });
   }
+
+  private countRefusal(call: RoutedCall, end: CallEnd): void {
+    if (end.kind !== 'own' || end.own.kind !== 'notRun') return;
+    const rank = this.delivery.placer.rankOf(call).toFixed(2);
+    this.parts.metrics.increment(BALANCER_METRICS.refusals, 1, { reason: end.own.reason, rank });
+  }
 }
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -9,14 +9,18 @@
   type CallRequirements,
   type Candidate,
   chooseTarget,
+  hasSlack,
+  mustYield,
   type Placement,
   type QueuedCall,
+  SentWork,
   WaitQueue,
 } from '../placement';
 import { type Random } from '../runtime';
 
 import { type IncomingCall } from './incomingCall';
 import { PriorityRanks } from './priorityRanks';
+import { type RankedCall } from './rankedCall';
 import { type AdmissionParts, TargetAdmission } from './targetAdmission';
 import { TargetPool } from './targetPool';
 
@@ -64,6 +68,8 @@
 
   private ranks = new PriorityRanks(null);
 
+  private readonly sentWork = new Map<string, SentWork>();
+
   constructor(private readonly parts: PlacerParts) {
     this.admission = new TargetAdmission(parts);
     this.pool = new TargetPool(parts.zone, parts.random, parts.preference);
@@ -96,6 +102,11 @@
   ): Placement {
     const candidates = targets.map((target) => this.toCandidate(target));
     const placement = chooseTarget(candidates, requirements, this.parts.random);
+    if (placement.kind === 'send') {
+      const urgentShare = this.sentWorkOf(call.service).shareAbove(requirements.rank);
+      if (!mustYield(candidates, requirements, urgentShare)) return placement;
+      return { kind: 'wait', reason: 'yielding', best: placement.target };
+    }
     if (placement.kind !== 'wait') return placement;
     return this.placeCold(call, candidates, requirements) ?? placement;
   }
@@ -117,6 +128,25 @@
     }
   }
 
+  /** Whether a waiting call has time enough that a later start is not a late one. */
+  hasSlack(call: IncomingCall): boolean {
+    return hasSlack(this.requirementsOf(call, true));
+  }
+
+  /** Records that a call is sent to a target. */
+  recordSent(call: IncomingCall): void {
+    this.sentWorkOf(call.service).record(this.rankOf(call), this.usualWorkMs(call));
+  }
+
+  private sentWorkOf(service: string): SentWork {
+    let sent = this.sentWork.get(service);
+    if (sent === undefined) {
+      sent = new SentWork(this.parts.clock);
+      this.sentWork.set(service, sent);
+    }
+    return sent;
+  }
+
   /** The wait queue of this host for a service. */
   waitQueueOf(service: string): WaitQueue {
     let queue = this.waitQueues.get(service);
@@ -134,7 +164,7 @@
   }
 
   /** Rank of the call among those that its service may get: 0 most urgent, 1 least urgent. */
-  rankOf(call: IncomingCall): number {
+  rankOf(call: RankedCall): number {
     const { configuration } = this.parts.catalog();
     if (this.ranks.configuration !== configuration) this.ranks = new PriorityRanks(configuration);
     return this.ranks.rankOf(call);
--- a/src/placement/chooseTarget.ts
+++ b/src/placement/chooseTarget.ts
@@ -44,6 +44,11 @@
 // A call waits for the limit of a target to allow it for at most this share of its objective.
 const MAX_LIMITED_WAIT_OBJECTIVES = 1 / 8;
 
+function maxExpectedTimeFactor(rank: number): number {
+  const { mostUrgent, leastUrgent } = MAX_EXPECTED_TIME_FACTOR;
+  return mostUrgent + (leastUrgent - mostUrgent) * rank;
+}
+
 interface RatedCandidate {
   readonly candidate: Candidate;
   readonly expectedMs: number;
@@ -102,11 +107,6 @@
   return objectiveLeftMs > -MAX_LATE_WAIT_OBJECTIVES * objectiveMs && leftMs > workMs;
 }
 
-function maxExpectedTimeFactor(rank: number): number {
-  const { mostUrgent, leastUrgent } = MAX_EXPECTED_TIME_FACTOR;
-  return mostUrgent + (leastUrgent - mostUrgent) * rank;
-}
-
 /**
  * Chooses the target with the lowest cost: expected time plus penalties for distance, failures and
  * unhealthy targets, and random jitter. Cold targets, those that may have restarted and those whose
--- a/standins/fleet/index.ts
+++ b/standins/fleet/index.ts
@@ -12,4 +12,4 @@
 export { ModelHost } from './modelHost';
 export { ModelTarget } from './modelTarget';
 export { ActiveDisturbances } from './activeDisturbances';
-export { COURSES, ROUNDS } from './deployments';
+export { COURSES, ROUNDS, SALES } from './deployments';
