Report at once that a target has slowed down

Cause: in zones of more than nine hosts reports of a target wait for 40 to 85 ms, a sixth of the time for which a target stays slow; calls that are sent to it meanwhile are late.

Change: a pace that rises by 1.6 times is sent within 3 ms, other changes as before.

--- a/src/knowledge/reportBroadcaster.ts
+++ b/src/knowledge/reportBroadcaster.ts
@@ -1,6 +1,7 @@
-import { type Clock, type Timer } from '../runtime';
+import { type Clock, EarliestTimer, type Timer } from '../runtime';
 
 import { isLargeZone } from './largeZone';
+import { USUAL_PACE_PERCENT } from './targetObservations';
 import { type TargetReport } from './targetReport';
 
 // A change is sent to the zone within this time. Beyond REFERENCE_RECEIVERS the delay grows faster
@@ -10,6 +11,9 @@
 const REFERENCE_RECEIVERS = 6;
 const BATCH_SCALE_EXPONENT = 1.25;
 const MAX_ZONE_BATCH_MS = 200;
+// Calls that are sent to a target before its users know that it has slowed down by this factor are late.
+const SLOWDOWN_FACTOR = 1.6;
+const SLOWDOWN_BATCH_MS = 3;
 const CROSS_ZONE_BATCH_MS = 30;
 // A change of pace by less than this factor is not worth the cross-zone traffic.
 const CROSS_ZONE_PACE_CHANGE_FACTOR = 1.6;
@@ -70,14 +74,16 @@
 
   private readonly lastLimitSentAt = new Map<string, number>();
 
-  private sameZoneTimer: Timer | null = null;
+  private readonly sameZoneTimer: EarliestTimer;
 
   private crossZoneTimer: Timer | null = null;
 
   constructor(
     private readonly clock: Clock,
     private readonly sink: ReportSink,
-  ) {}
+  ) {
+    this.sameZoneTimer = new EarliestTimer(clock, () => this.flush(this.sameZonePending, false));
+  }
 
   /**
    * Queues a report for this zone, and for the other zones if they need it. With `hasLimitChanged`,
@@ -87,12 +93,10 @@
     const now = this.clock.now();
     const pending = { report, observedAt: now - report.age };
     const mustReportLimit = this.mustReportLimit(report, hasLimitChanged);
+    const isSlowdown = this.isSlowdown(report);
     if (!this.mustReportToZone(report, now) && !mustReportLimit) return;
     addPending(this.sameZonePending, pending);
-    this.sameZoneTimer ??= this.clock.setTimer(now + this.zoneBatchMs(), () => {
-      this.sameZoneTimer = null;
-      this.flush(this.sameZonePending, false);
-    });
+    this.sameZoneTimer.setBy(now + (isSlowdown ? SLOWDOWN_BATCH_MS : this.zoneBatchMs()));
     // Hosts of a large zone use its own targets, so that no other zone needs the report.
     if (isLargeZone(this.sink.neighbourCount())) return;
     if (!this.mustReportCrossZone(report) && !mustReportLimit) return;
@@ -131,6 +135,12 @@
       for (const target of sent.keys()) if (!has(target)) sent.delete(target);
   }
 
+  private isSlowdown({ target, pace }: TargetReport): boolean {
+    if (pace === null) return false;
+    const last = this.lastSameZonePace.get(target)?.pace ?? USUAL_PACE_PERCENT;
+    return pace >= last * SLOWDOWN_FACTOR;
+  }
+
   private zoneBatchMs(): number {
     const scaleFactor = Math.max(1, this.sink.receiverCount() / REFERENCE_RECEIVERS);
     return Math.min(MAX_ZONE_BATCH_MS, ZONE_BATCH_MS * scaleFactor ** BATCH_SCALE_EXPONENT);
