--- a/test/exchange/datagramCodec.test.ts
+++ b/test/exchange/datagramCodec.test.ts
@@ -76,6 +76,8 @@
     ...{ source: 'idle', isLeaving: true, zoneSize: 5, otherZone: ['b', 6] },
     shouldReplyWithMembers: true,
   },
+  { kind: 'proofRequest', token: 2 ** 30 - 1 },
+  { kind: 'proofResponse', token: 1, revision: 2 ** 40, ageMs: 60_000 },
 ];
 
 describe('the datagram codec', () => {
