Resolve the pages and tests of the merged parts

Cause: the pages of capacity and the samples of messages were merged with conflict markers in. Change: both sides are kept; generated pages are written again. Measured: formatter, linter and type check are clean.

--- a/scripts/docs/balancerCapacity.ts
+++ b/scripts/docs/balancerCapacity.ts
@@ -70,7 +70,6 @@
 free slot among their targets send calls to others too, and a zone without targets of a service uses those of
 other zones; the hosts that become users when others leave would learn from the repetition, seconds later.
 
-<<<<<<< HEAD
 Proofs that the configuration is the newest one, while it has tenants
 (\`PRINT_PROOFS=1 npx jest test/freshness/proofsOfFleets\`, seed 1, 6 s at rest; bytes of datagrams without headers):
 
@@ -82,7 +81,7 @@
 
 Calls to the store grow with the zones, bytes of the largest host, which is a reader, with the hosts of its zone: 12 B/s
 for each. A zone of 280 hosts would cost its reader 3.3 KB/s (calculated). Without tenants nothing is sent or called.
-=======
+
 Quotas of tenants (\`PRINT_QUOTAS=1 npx jest test/quota/quotaCost\`, seed 1, on 9c5e249 with the test of a5c174f):
 83 tenants of 2 to 100 calls a second, 5 calls a second at each host, three zones, no loss, 0.2 ms one way within a
 zone and 0.5 ms between zones. Datagrams and bytes that a host sends a second, questions and answers together; the time
@@ -96,7 +95,6 @@
 
 The bytes of a host grow with its calls, and not with the hosts but for redirections of questions to hosts that are
 not the owner. Tenants without a limit send nothing and wait for nothing (same command).
->>>>>>> quota
 
 On the users' bench, 17 hosts and 39 targets, quiet-1 of dvwda-gully: 0.055 cores and 55.8 MB a host,
 114 store calls in 42 s for all hosts. 5.5% of a core is above 1.5%: probes and answers at 20 a second a
--- a/test/exchange/datagramCodec.test.ts
+++ b/test/exchange/datagramCodec.test.ts
@@ -76,7 +76,6 @@
     ...{ source: 'idle', isLeaving: true, zoneSize: 5, otherZone: ['b', 6] },
     shouldReplyWithMembers: true,
   },
-<<<<<<< HEAD
   {
     kind: 'quotaQuestion',
     ...{ number: 2 ** 21 - 1, tenant: 4_294_967_295, returned: 60 },
@@ -90,10 +89,8 @@
   { kind: 'quotaAnswer', number: 2, result: { kind: 'exceeded', waitMs: 70_000 } },
   { kind: 'quotaAnswer', number: 3, result: { kind: 'unknown', waitMs: 0 } },
   { kind: 'quotaAnswer', number: 4, result: { kind: 'redirect', ip: '10.0.0.9', hasCeased: true } },
-=======
   { kind: 'proofRequest', token: 2 ** 30 - 1 },
   { kind: 'proofResponse', token: 1, revision: 2 ** 40, ageMs: 60_000 },
->>>>>>> freshness
 ];
 
 describe('the datagram codec', () => {
