Keep zones out of service after a restore of the store

Cause: a zone that was taken out after the copy came back into service at once when the store was restored, until its operator wrote the entry again.

Change: in the grace period, a missing or deleted entry of an older era is withheld for zones as well. Deletions within an era take effect at once, as before.

--- a/src/catalog/ledger.ts
+++ b/src/catalog/ledger.ts
@@ -109,6 +109,11 @@
     return this.records.get(key)?.fact ?? null;
   }
 
+  /** Revision at which a key was last written or deleted; null without a record. */
+  revisionOf(key: string): number | null {
+    return this.records.get(key)?.revision ?? null;
+  }
+
   /** Revision of the deletion of a key; null when the key has a fact or no record. */
   deletionOf(key: string): number | null {
     const record = this.records.get(key);
--- a/src/source/catalogReader.ts
+++ b/src/source/catalogReader.ts
@@ -273,7 +273,11 @@
 
   private isUnannouncedDeletion(record: CatalogRecord): boolean {
     if (record.fact !== null) return false;
-    const fact = this.parts.ledger.factOf(record.key);
+    const { ledger } = this.parts;
+    const fact = ledger.factOf(record.key);
+    // Operators write again what was lost, as targets do.
+    if (fact?.kind === 'zoneOut')
+      return eraOf(ledger.revisionOf(record.key) ?? 0) < eraOf(record.revision);
     return fact?.kind === 'target' && fact.target.state === 'ready';
   }
 
--- a/test/exchange/restoredSource.test.ts
+++ b/test/exchange/restoredSource.test.ts
@@ -100,6 +100,25 @@
     expect(fleet.behind(3)).toEqual([]);
   });
 
+  // Guards against a zone that is back in service until its operator takes it out again (case e).
+  it.each(RUNS)('keeps a zone out of service, %d hosts, seed %d', async (size, seed) => {
+    const fleet = new SimulatedFleet(size, ZONES, seed);
+    await fleet.network.advance(4000);
+    const copy = fleet.source.newestRevision();
+    fleet.source.publish('out/a', { kind: 'zoneOut', zone: 'a' });
+    await fleet.network.advance(500);
+    const hostsWithZoneOut = () =>
+      fleet.network.liveHosts().filter(({ ledger }) => ledger.factOf('out/a') !== null).length;
+    expect(hostsWithZoneOut()).toBe(size);
+    fleet.source.restore(copy);
+    for (let step = 0; step < 200; step += 1) {
+      await fleet.network.advance(10);
+      expect(hostsWithZoneOut()).toBe(size);
+    }
+    await fleet.network.advance(3000);
+    expect(hostsWithZoneOut()).toBe(0);
+  });
+
   // Guards against a host that keeps the old era because its revisions look newer (case d).
   it.each(seeds)('reaches a host that returns from a partition, seed %d', async (seed) => {
     const fleet = new SimulatedFleet(SIZE, ZONES, seed);
