Bound the early reports of slowdowns

Cause: each slowdown ended a batch of reports, so that a host with targets whose pace changes all the time sent 7,363 datagrams in 2 s to a zone of 37, where one of 12 got 2,388 (test/knowledge/largeZone).

Change: a slowdown is sent early once in the time of a batch; others wait for the batch.

--- a/src/knowledge/reportBroadcaster.ts
+++ b/src/knowledge/reportBroadcaster.ts
@@ -76,6 +76,9 @@
 
   private readonly sameZoneTimer: EarliestTimer;
 
+  /** Monotonic time from which on a slowdown is sent before the batch is due. */
+  private nextSlowdownAt = -Infinity;
+
   private crossZoneTimer: Timer | null = null;
 
   constructor(
@@ -96,7 +99,7 @@
     const isSlowdown = this.isSlowdown(report);
     if (!this.mustReportToZone(report, now) && !mustReportLimit) return;
     addPending(this.sameZonePending, pending);
-    this.sameZoneTimer.setBy(now + (isSlowdown ? SLOWDOWN_BATCH_MS : this.zoneBatchMs()));
+    this.sameZoneTimer.setBy(now + (isSlowdown ? this.slowdownBatchMs(now) : this.zoneBatchMs()));
     // Hosts of a large zone use its own targets, so that no other zone needs the report.
     if (isLargeZone(this.sink.neighbourCount())) return;
     if (!this.mustReportCrossZone(report) && !mustReportLimit) return;
@@ -141,6 +144,13 @@
     return pace >= last * SLOWDOWN_FACTOR;
   }
 
+  // Targets that change their pace all the time must not end the batches.
+  private slowdownBatchMs(now: number): number {
+    if (now < this.nextSlowdownAt) return this.zoneBatchMs();
+    this.nextSlowdownAt = now + this.zoneBatchMs();
+    return SLOWDOWN_BATCH_MS;
+  }
+
   private zoneBatchMs(): number {
     const scaleFactor = Math.max(1, this.sink.receiverCount() / REFERENCE_RECEIVERS);
     return Math.min(MAX_ZONE_BATCH_MS, ZONE_BATCH_MS * scaleFactor ** BATCH_SCALE_EXPONENT);
--- a/test/knowledge/largeZone.test.ts
+++ b/test/knowledge/largeZone.test.ts
@@ -136,6 +136,27 @@
   });
 });
 
+// Guards against calls to a target that has just slowed down, since its users learn of it with the next batch.
+test('a slowdown is sent at once, and further ones with the batch', () => {
+  const clock = new ManualClock();
+  clock.advanceTo(1000);
+  const sentAt: number[] = [];
+  const broadcaster = new ReportBroadcaster(clock, {
+    broadcastReports: (_reports, isCrossZone) => {
+      if (!isCrossZone) sentAt.push(clock.now());
+    },
+    neighbourCount: () => 24,
+    receiverCount: () => 24,
+  });
+  broadcaster.enqueue({ ...report(0, 1), pace: 700 }, false);
+  clock.advanceBy(10);
+  broadcaster.enqueue({ ...report(0, 1), target: 't2', pace: 700 }, false);
+  clock.advanceBy(200);
+  expect(sentAt).toHaveLength(2);
+  expect(sentAt[0]! - 1000).toBeLessThan(10);
+  expect(sentAt[1]! - 1000).toBeGreaterThan(50);
+});
+
 // Guards against hosts that report to all users of a target what another user has just reported.
 test.each([
   ['large', 37, 1],
