--- a/src/knowledge/reportBroadcaster.ts
+++ b/src/knowledge/reportBroadcaster.ts
@@ -138,8 +138,9 @@
       for (const target of sent.keys()) if (!has(target)) sent.delete(target);
   }
 
+  // In a small zone the batches are short.
   private isSlowdown({ target, pace }: TargetReport): boolean {
-    if (pace === null) return false;
+    if (pace === null || !isLargeZone(this.sink.neighbourCount())) return false;
     const last = this.lastSameZonePace.get(target)?.pace ?? USUAL_PACE_PERCENT;
     return pace >= last * SLOWDOWN_FACTOR;
   }
--- a/test/balancer/silentHeads.test.ts
+++ b/test/balancer/silentHeads.test.ts
@@ -88,11 +88,13 @@
     platform.register('reads', { id: 'i-third' }, await third.listen());
     await platform.sleep(400);
     third.onCall = ({ socket, id }) => socket.write(SAMPLE.text(id).slice(0, 50));
-    for (let count = 0; count < 6; count += 1) {
-      const reply = await platform.call('GET', '/read/x', { id: `read-${count}` });
-      expect([reply.status, reply.body]).toEqual([200, `answer to read-${count}`]);
-    }
-    expect(third.received.length).toBeGreaterThan(0);
+    // Calls at the same time use all three servers, whatever the seed.
+    const ids = Array.from({ length: 12 }, (_, count) => `read-${count}`);
+    const replies = await Promise.all(ids.map((id) => platform.call('GET', '/read/x', { id })));
+    expect(replies.map(({ status, body }) => [status, body])).toEqual(
+      ids.map((id) => [200, `answer to ${id}`]),
+    );
     third.close();
+    expect(third.received.length).toBeGreaterThan(0);
   });
 });
