Wait for the first log line of processes that wait for settings

Cause: the test looked at the log 2.5 s after it had started five processes; on a busy machine one had not read its settings by then (load of 26, one of five). Change: it waits until each process has logged that it waits, or has ended, and looks 2.5 s later. As strict, since the processes must still wait then. The time after which hosts of a zone are considered dead is computed once for each zone instead of for each host when the list of live hosts is refreshed.

--- a/src/exchange/membership.ts
+++ b/src/exchange/membership.ts
@@ -199,16 +199,20 @@
   }
 
   private isLive(host: KnownHost, now: number): boolean {
-    const ageMs = now - host.receivedAt;
+    return now - host.receivedAt < this.timeoutOf(host.zone);
+  }
+
+  /** Age in milliseconds of the last sign of life at which a host of the zone is considered dead. */
+  private timeoutOf(zone: string): number {
     const neighbourCount = this.liveNeighbours.length;
-    if (host.zone !== this.self.zone) {
-      const isLarge = isLargeZone(neighbourCount) || isLargeZone(this.sizeOf(host.zone) - 1);
-      return ageMs < (isLarge ? LARGE_CROSS_ZONE_TIMEOUT_MS : CROSS_ZONE_TIMEOUT_MS);
+    if (zone !== this.self.zone) {
+      const isLarge = isLargeZone(neighbourCount) || isLargeZone(this.sizeOf(zone) - 1);
+      return isLarge ? LARGE_CROSS_ZONE_TIMEOUT_MS : CROSS_ZONE_TIMEOUT_MS;
     }
-    const zoneSize = Math.max(neighbourCount + 1, this.sizeOf(host.zone));
+    const zoneSize = Math.max(neighbourCount + 1, this.sizeOf(zone));
     if (isLargeZone(zoneSize - 1))
-      return ageMs < LARGE_ZONE_TIMEOUT_MS * Math.max(1, zoneSize / LARGE_ZONE_TIMEOUT_HOSTS);
-    return ageMs < SAME_ZONE_TIMEOUT_HEARTBEATS * heartbeatInterval(zoneSize);
+      return LARGE_ZONE_TIMEOUT_MS * Math.max(1, zoneSize / LARGE_ZONE_TIMEOUT_HOSTS);
+    return SAME_ZONE_TIMEOUT_HEARTBEATS * heartbeatInterval(zoneSize);
   }
 
   // The lists are cached: they are read for each report and each call, but change only a few times
@@ -217,10 +221,15 @@
     const now = this.clock.now();
     if (now < this.nextRefreshAt) return;
     this.nextRefreshAt = now + LIST_REFRESH_INTERVAL_MS;
-    this.liveHosts = [...this.hosts.values()].filter((host) => this.isLive(host, now));
-    this.liveNeighbours = this.liveHosts.filter(
-      (host) => host.zone === this.self.zone && host.isDirect,
-    );
+    const timeouts = new Map<string, number>();
+    const live: KnownHost[] = [];
+    for (const host of this.hosts.values()) {
+      const timeoutMs = timeouts.get(host.zone) ?? this.timeoutOf(host.zone);
+      timeouts.set(host.zone, timeoutMs);
+      if (now - host.receivedAt < timeoutMs) live.push(host);
+    }
+    this.liveHosts = live;
+    this.liveNeighbours = live.filter((host) => host.zone === this.self.zone && host.isDirect);
   }
 
   private sizeOf(zone: string): number {
--- a/test/balancer/settingsAtStart.test.ts
+++ b/test/balancer/settingsAtStart.test.ts
@@ -46,6 +46,12 @@
       if (text !== null) balancer.writeSettings(text);
       return balancer.launch();
     });
+    // A process on a busy machine takes seconds until it reads its settings; it must wait after that.
+    await first!.platform.until(() =>
+      hosts.every(
+        ({ balancer }) => balancer.child!.exitCode !== null || balancer.logged(2318).length > 0,
+      ),
+    );
     await first!.platform.sleep(WAIT_MS);
     const isWaiting = hosts.map(({ balancer }) => [
       balancer.child!.exitCode,
