Do not use a time since boot that runs faster than the other clocks

Cause: the age of proofs is the largest of three clocks. Node.js reads the time since boot from /proc/uptime, which is that of the real machine where a process runs on emulated clocks: on the small deployment with tenants it advanced by 135 s in 14 s of the clocks of the hosts (trial that logged the clocks). Each proof looked up to ten times as old, so that all hosts read the store again and again, and refused calls. Change: a time since boot that keeps running ahead of both the monotonic clock and the time of day is not used any more (event 2402). Proofs from before a step of the time of day then count as too old, as a step may hide a suspension. Ruled out: dropping the time since boot, which alone shows a suspension that coincides with a backward step.

--- a/src/freshness/events.ts
+++ b/src/freshness/events.ts
@@ -12,4 +12,9 @@
     level: 'info',
     message: 'there is a proof again that the configuration is the newest one',
   },
+  sinceBootIgnored: {
+    number: 2402,
+    level: 'warn',
+    message: 'the time since boot runs faster than the other clocks and is not used',
+  },
 });
--- a/src/freshness/freshness.ts
+++ b/src/freshness/freshness.ts
@@ -15,6 +15,7 @@
 
 import { ExpiryLog } from './expiryLog';
 import { type KeyValidity } from './keyValidity';
+import { FRESHNESS_EVENTS } from './events';
 import { FRESHNESS_METRICS } from './metrics';
 import { ProofRounds } from './proofRounds';
 import { ProofSources } from './proofSources';
@@ -86,6 +87,8 @@
 
   private isConfirming = false;
 
+  private hasLoggedClock = false;
+
   private cancelTimer: () => void = () => {};
 
   constructor(private readonly parts: FreshnessParts) {
@@ -186,6 +189,13 @@
     this.rounds.noteResponse(fromIp, this.proofs.ageMs());
   }
 
+  private logClock(): void {
+    const { suspensionClock, events } = this.parts;
+    if (this.hasLoggedClock || suspensionClock.isSinceBootUsed()) return;
+    this.hasLoggedClock = true;
+    events.emit(FRESHNESS_EVENTS.sinceBootIgnored);
+  }
+
   private refresh(): void {
     const { ledger, suspensionClock, metrics, isReading } = this.parts;
     if (ledger.catalog().tenants === null) {
@@ -194,6 +204,7 @@
     }
     this.neededSince ??= suspensionClock.now();
     const ageMs = this.proofs.ageMs();
+    this.logClock();
     if (Number.isFinite(ageMs)) metrics.gauge(FRESHNESS_METRICS.proofAge, ageMs);
     this.expiryLog.update(this.leftMs(this.missingMs(ageMs)) <= 0, ageMs);
     if (this.isConfirmationDue(ageMs)) this.confirm();
--- a/src/runtime/moment.ts
+++ b/src/runtime/moment.ts
@@ -3,6 +3,8 @@
   readonly monotonicMs: number;
   readonly timeOfDayMs: number;
   readonly sinceBootMs: number;
+  /** Number of steps of the time of day that the process had seen. */
+  readonly steps: number;
 }
 
 /** The moment `milliseconds` before another one. */
@@ -11,5 +13,6 @@
     monotonicMs: moment.monotonicMs - milliseconds,
     timeOfDayMs: moment.timeOfDayMs - milliseconds,
     sinceBootMs: moment.sinceBootMs - milliseconds,
+    steps: moment.steps,
   };
 }
