Confirm at the store in one zone only

Change: zones have an order, and the reader of the first one with live hosts confirms. The readers of other zones ask it from an age of 0.9 s on, every 0.1 s until they have a newer proof, and confirm themselves at 1.1 s (second zone) or 1.3 s (others). A host that would read next does the same for a silent reader; when hosts ask it while its proof is old, it asks its reader first in place of the store. Lists of members for other zones always name the reader, as only some hosts of a large zone are known.

--- a/src/exchange/membershipGossip.ts
+++ b/src/exchange/membershipGossip.ts
@@ -256,8 +256,18 @@
   /** Sends some members of this zone to one host of each other zone. */
   private sendMembersToOtherZones(): void {
     const { self, random } = this.parts;
-    const hosts = [self, ...this.membership.neighbours()];
-    this.sendToOtherZones(sample(random, hosts, MAX_CROSS_ZONE_MEMBERS).map(addressOf));
+    const reader = this.reader();
+    const hosts = [self, ...this.membership.neighbours()].filter(({ id }) => id !== reader?.id);
+    const others = sample(random, hosts, MAX_CROSS_ZONE_MEMBERS - 1);
+    const members = reader === undefined ? others : [reader, ...others];
+    this.sendToOtherZones(members.map(addressOf));
+  }
+
+  // The readers of other zones ask it for proofs, so that all of them have to know it.
+  private reader(): HostAddress | undefined {
+    const { self, sourceState } = this.parts;
+    if (sourceState() === 'reading') return self;
+    return this.membership.neighbours().find(({ source }) => source === 'reading');
   }
 
   // In-flight counts go to the hosts of small zones that are known.
--- a/src/freshness/freshness.ts
+++ b/src/freshness/freshness.ts
@@ -16,6 +16,7 @@
 import { ExpiryLog } from './expiryLog';
 import { type KeyValidity } from './keyValidity';
 import { FRESHNESS_METRICS } from './metrics';
+import { OtherZoneRounds } from './otherZoneRounds';
 import { ProofRounds } from './proofRounds';
 import { ProofSources } from './proofSources';
 import { type ProofState } from './proofState';
@@ -26,14 +27,14 @@
 const TICK_MS = 50;
 // Keys are used this much shorter than allowed, for what the clocks and timers of a host are off.
 const SAFETY_MARGIN_MS = 200;
-// The host that reads the store for its zone confirms this often. Together with the interval of the
-// requests, the proofs of the others stay younger than 2 s; at least every 1.0 s is required.
-const CONFIRM_INTERVAL_MS = 800;
-// The reader asks other hosts too when its own confirmations stay away, and the host that would read
-// next confirms when the reader does not answer.
+// Age of the proof at which the reader of a zone confirms, by the position of the zone. The first zone
+// confirms for all: together with the intervals of the requests, the proofs of the others stay younger
+// than 2 s; at least every 1.0 s is required. The next one confirms when the first one has no newer
+// proof, and the others when they get none from these two.
+const CONFIRM_AGES_MS = [800, 1100, 1300] as const;
+// A reader whose proof is older asks its neighbours too, and a host that would read next asks the reader
+// when a host that lacks an answer of the reader asks it.
 const FALLBACK_AGE_MS = 1200;
-// The host that would read next confirms as often as the reader does.
-const STAND_IN_AGE_MS = CONFIRM_INTERVAL_MS;
 // An older proof shows that neither the reader nor other hosts have a newer one.
 const STORE_TURN_AGE_MS = 2200;
 // A host that has started gets its first proof from another host within this time.
@@ -73,6 +74,8 @@
 
   private readonly rounds: ProofRounds;
 
+  private readonly otherZoneRounds: OtherZoneRounds;
+
   private readonly sources: ProofSources;
 
   private readonly confirmer: StoreConfirmer;
@@ -92,13 +95,15 @@
     const { clock, suspensionClock, random, ledger, source, metrics, events } = parts;
     this.proofs = new ProofTable(suspensionClock, () => ledger.configurationRevision());
     this.sources = new ProofSources(parts);
-    this.rounds = new ProofRounds({
+    const roundsParts = {
       ...{ clock, suspensionClock, random, sources: this.sources },
-      send: (hosts, token) => {
+      send: (hosts: readonly HostAddress[], token: number) => {
         metrics.increment(FRESHNESS_METRICS.requests, hosts.length);
         parts.sendRequest(hosts, token);
       },
-    });
+    };
+    this.rounds = new ProofRounds(roundsParts);
+    this.otherZoneRounds = new OtherZoneRounds(roundsParts);
     this.confirmer = new StoreConfirmer({
       ...{ clock, suspensionClock, random, ledger, source },
       onProof: (proof) => this.proofs.add(proof),
@@ -173,14 +178,15 @@
     const ageMs = Math.ceil(this.parts.suspensionClock.elapsedSince(proof.moment));
     // The hosts that ask this one have no answer of the reader then.
     if (ageMs > FALLBACK_AGE_MS && this.neededSince !== null && this.sources.isNextReader())
-      this.confirmSoon();
+      this.rounds.askAllNow();
     if (ageMs > MAX_PASSED_ON_AGE_MS) return null;
     return { kind: 'proofResponse', token, revision: proof.revision, ageMs };
   }
 
   /** Uses the response of another host. */
   receiveResponse({ token, revision, ageMs }: ProofResponse, fromIp: string): void {
-    const requestedAt = this.rounds.momentOf(token, fromIp);
+    const requestedAt =
+      this.rounds.momentOf(token, fromIp) ?? this.otherZoneRounds.momentOf(token, fromIp);
     if (requestedAt === null) return;
     this.proofs.add({ revision, moment: before(requestedAt, ageMs) });
     this.rounds.noteResponse(fromIp, this.proofs.ageMs());
@@ -196,6 +202,7 @@
     const ageMs = this.proofs.ageMs();
     if (Number.isFinite(ageMs)) metrics.gauge(FRESHNESS_METRICS.proofAge, ageMs);
     this.expiryLog.update(this.leftMs(this.missingMs(ageMs)) <= 0, ageMs);
+    if (this.isActingReader(ageMs)) this.otherZoneRounds.refresh(ageMs);
     if (this.isConfirmationDue(ageMs)) this.confirm();
     if (!isReading() || ageMs > FALLBACK_AGE_MS) this.rounds.askIfDue();
   }
@@ -204,8 +211,8 @@
     const { clock, isReading } = this.parts;
     const now = clock.now();
     if (!this.confirmer.mayStart()) return false;
-    if (isReading()) return ageMs >= CONFIRM_INTERVAL_MS;
-    if (this.mustStandIn(ageMs))
+    if (isReading()) return this.mustConfirm(ageMs);
+    if (this.isActingReader(ageMs) && this.mustConfirm(ageMs))
       return now >= this.confirmer.lastStartAt() + MIN_EXTRA_CONFIRM_INTERVAL_MS;
     const missingMs = this.missingMs(ageMs);
     const waitMs = Number.isFinite(ageMs) ? STORE_TURN_AGE_MS : FIRST_PROOF_WAIT_MS;
@@ -213,10 +220,17 @@
     return this.storeTurns.isDue(now, missingMs, this.sources.zoneSize());
   }
 
-  /** Whether this host confirms in place of a reader that does not answer. */
-  private mustStandIn(ageMs: number): boolean {
-    if (!this.rounds.lacksReader() || !Number.isFinite(ageMs)) return false;
-    return ageMs > STAND_IN_AGE_MS && this.sources.isNextReader();
+  /** Whether this host reads for its zone, or has a proof and would read next while the reader is silent. */
+  private isActingReader(ageMs: number): boolean {
+    if (this.parts.isReading()) return true;
+    return this.rounds.lacksReader() && Number.isFinite(ageMs) && this.sources.isNextReader();
+  }
+
+  /** Whether the reader of this zone confirms, and does not get the proof of another zone. */
+  private mustConfirm(ageMs: number): boolean {
+    const rank = Math.min(this.sources.confirmationRank(), CONFIRM_AGES_MS.length - 1);
+    if (ageMs < CONFIRM_AGES_MS[rank]!) return false;
+    return rank === 0 || this.otherZoneRounds.haveFailed();
   }
 
   private confirmSoon(): void {
--- a/src/freshness/proofSources.ts
+++ b/src/freshness/proofSources.ts
@@ -1,7 +1,11 @@
 import { type HostAddress, type KnownHost, type Membership } from '../exchange';
-import { type Random, sample } from '../runtime';
+import { type Random, rendezvousOrder, sample } from '../runtime';
 import { zoneReaderOrder } from '../source';
 
+// Zones that are asked at a time, and hosts of each: the reader and the one that would read next.
+const MAX_ASKED_ZONES = 3;
+const MAX_ASKED_HOSTS_OF_ZONE = 2;
+
 /** Dependencies of `ProofSources`. */
 export interface ProofSourcesParts {
   readonly self: HostAddress;
@@ -43,6 +47,48 @@
     return this.parts.membership.neighbours().length + 1;
   }
 
+  /**
+   * Position of this zone in the order in which zones confirm at the store. The first one with live
+   * hosts does; zones that differ in what they know of each other may have the same position.
+   */
+  confirmationRank(): number {
+    return this.confirmationOrder().indexOf(this.parts.self.zone);
+  }
+
+  /**
+   * Hosts of the zones that confirm before this one or would be the next to do so. The first attempt
+   * asks the reader of the first zone, and later ones more zones and who would read next there.
+   */
+  readersOfOtherZones(attempt: number): readonly HostAddress[] {
+    const live = this.parts.membership.live().filter((host) => !host.isLeaving);
+    return this.confirmationOrder()
+      .filter((zone) => zone !== this.parts.self.zone)
+      .slice(0, Math.min(attempt, MAX_ASKED_ZONES))
+      .flatMap((zone) =>
+        ProofSources.inReaderOrder(live.filter((host) => host.zone === zone)).slice(
+          0,
+          Math.min(attempt, MAX_ASKED_HOSTS_OF_ZONE),
+        ),
+      );
+  }
+
+  private confirmationOrder(): readonly string[] {
+    const { self, membership } = this.parts;
+    const live = membership.live().filter((host) => !host.isLeaving);
+    const zones = new Set([self.zone, ...live.map(({ zone }) => zone)]);
+    return rendezvousOrder('proof confirmer', [...zones]);
+  }
+
+  // Of large zones only some hosts are known, mostly with the one that reads, and of few of them whether
+  // they fail.
+  private static inReaderOrder(hosts: readonly KnownHost[]): readonly HostAddress[] {
+    const [first, ...others] = hosts;
+    if (first === undefined) return [];
+    const byId = new Map(hosts.map((host) => [host.id, host]));
+    const reports = others.map(({ id, source }) => ({ hostId: id, state: source }));
+    return zoneReaderOrder(first.id, reports).flatMap((id) => byId.get(id) ?? []);
+  }
+
   private readerOrder(): readonly string[] {
     const reports = this.candidates().map(({ id, source }) => ({ hostId: id, state: source }));
     return zoneReaderOrder(this.parts.self.id, reports);
--- a/test/exchange/simulatedSource.ts
+++ b/test/exchange/simulatedSource.ts
@@ -26,6 +26,9 @@
   /** Those of the requests that only ask whether the configuration is the newest one. */
   confirmations = 0;
 
+  /** Hosts that asked this. */
+  readonly confirmers = new Set<string>();
+
   private revision = 0;
 
   /** Oldest revision after which changes can be watched. */
@@ -102,6 +105,7 @@
       },
       confirm: async (after, deadline) => {
         this.confirmations += 1;
+        this.confirmers.add(host);
         if (eraOf(after) < eraOf(this.revision))
           return Err({ kind: 'restored', message: 'a newer era' });
         const answer = await this.answer(host, deadline, connection.signal, () => ({
