Use a configuration whose tenants are null or malformed

Cause: null or malformed tenants, and a row of any table that is no list, made the whole configuration unusable. Change: null means no tenants, as if absent. A table that is malformed as a whole, also one without the column name or api_keys, counts as one without rows, so that routes that are not public answer 401, with the one remark of event 2005. A row that is no list is left out as other unreadable rows are.

--- a/test/balancer/oddConfiguration.test.ts
+++ b/test/balancer/oddConfiguration.test.ts
@@ -31,6 +31,18 @@
   'an objective below zero': ['odd', 'test.example', '/o/', 'idempotent', 1000, -1, 0, 'reads', 1],
 };
 
+const TENANT_ROWS = [['tenant', ['key'], null, 0, 0]];
+const TENANT_COLUMNS = ['name', 'api_keys', 'priority', 'rate_per_s', 'burst'];
+
+const MALFORMED_TENANTS: Readonly<Record<string, unknown>> = {
+  'a text': 'none',
+  'a list': [],
+  'a table without columns': { rows: TENANT_ROWS },
+  'a table without rows': { columns: TENANT_COLUMNS },
+  'a table whose columns are null': { columns: null, rows: TENANT_ROWS },
+  'a table without a column for keys': { columns: ['name'], rows: [['tenant']] },
+};
+
 describe('a configuration with something unknown in it', () => {
   let platform: TestPlatform;
 
@@ -86,4 +98,33 @@
     expect((await platform.call('GET', '/read/x')).status).toBe(200);
     expect(remarkLines().map(({ fields }) => fields.count)).toEqual([1]);
   });
+
+  const callWithTenants = async (tenants: unknown, headers = {}) => {
+    const value = configurationValue(100, [READ_ROUTE]) as object;
+    platform.store.put('op/config', { ...value, tenants });
+    await platform.start();
+    return (await platform.call('GET', '/read/x', { headers })).status;
+  };
+
+  // Guards against a configuration that is not used since a list of the platform is null where it is empty.
+  it('is used without tenants when they are null', async () => {
+    expect(await callWithTenants(null)).toBe(200);
+    expect(remarkLines()).toEqual([]);
+  });
+
+  // Guards against an unusable configuration, and against routes that are open to callers without a key.
+  it.each(Object.entries(MALFORMED_TENANTS))(
+    'keeps its routes when tenants are %s',
+    async (_, odd) => {
+      expect(await callWithTenants(odd, { authorization: 'Bearer key' })).toBe(401);
+      expect(remarkLines().map(({ fields }) => fields.count)).toEqual([1]);
+    },
+  );
+
+  // Guards against one row that takes the keys of all tenants out of service.
+  it('is used without a row of tenants that is not a list', async () => {
+    const tenants = { columns: TENANT_COLUMNS, rows: [null, ...TENANT_ROWS] };
+    expect(await callWithTenants(tenants, { authorization: 'Bearer key' })).toBe(200);
+    expect(remarkLines().map(({ fields }) => fields.count)).toEqual([1]);
+  });
 });
