Let ranks and tenants take turns in the wait queue

Cause: of the calls that wait at a host, those of a low rank got a slot only when no more urgent call waited, and tenants of one rank got slots in proportion to what they sent.

Within a rank, calls without slack come first, then the tenant that was placed longest ago. Calls placed in turn are counted by service. The model has tenants, and ORDERS is a deployment with four of them.

--- a/src/balancer/callPath.ts
+++ b/src/balancer/callPath.ts
@@ -150,6 +150,7 @@
         attempt: (service) => metrics.increment(BALANCER_METRICS.attempts, 1, { service }),
         retry: (service) => metrics.increment(BALANCER_METRICS.retries, 1, { service }),
         yielded: (service) => metrics.increment(BALANCER_METRICS.yields, 1, { service }),
+        turn: (service) => metrics.increment(BALANCER_METRICS.turns, 1, { service }),
         connection: () => this.countConnection(),
         attemptTime: (service, milliseconds) =>
           metrics.timing(BALANCER_METRICS.attemptTime, milliseconds, { service }),
--- a/src/balancer/metrics.ts
+++ b/src/balancer/metrics.ts
@@ -51,6 +51,13 @@
     unit: 'calls',
     description: 'Calls that left a free slot to urgent calls that were expected, by service.',
   },
+  turns: {
+    name: 'balancer.calls_in_turn',
+    kind: 'counter',
+    unit: 'calls',
+    description:
+      'Calls placed before others because their rank or tenant was passed over too often, by service.',
+  },
   refusals: {
     name: 'balancer.calls_refused',
     kind: 'counter',
--- a/src/delivery/callRun.ts
+++ b/src/delivery/callRun.ts
@@ -133,7 +133,7 @@
     return match(placement)
       .returnType<CallEnd | null>()
       .with({ kind: 'send' }, ({ target }) => {
-        this.leaveQueue();
+        this.recordPlaced();
         this.startAttempt(target);
         return null;
       })
@@ -179,6 +179,13 @@
     this.queueEntry = null;
   }
 
+  private recordPlaced(): void {
+    const { placer } = this.context;
+    if (placer.isDue(this.call)) this.context.recordTurn(this.call.service);
+    this.leaveQueue();
+    placer.recordPlaced(this.call);
+  }
+
   private startAttempt(targetId: string): void {
     const attempt = this.context.openAttempt(this.call, targetId, (ended, result) => {
       if (this.isFinished) result.answer?.rest?.cancel();
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -31,6 +31,7 @@
   attempt(service: string): void;
   retry(service: string): void;
   yielded(service: string): void;
+  turn(service: string): void;
   connection(): void;
   attemptTime(service: string, milliseconds: number): void;
 }
@@ -188,6 +189,10 @@
     this.parts.counters.yielded(service);
   }
 
+  recordTurn(service: string): void {
+    this.parts.counters.turn(service);
+  }
+
   mayHedge(): boolean {
     return this.connections.mayHedge();
   }
--- a/src/delivery/deliveryContext.ts
+++ b/src/delivery/deliveryContext.ts
@@ -31,6 +31,8 @@
   recordFirstAttempt(service: string): void;
   /** Records that a call yields its slot to urgent calls that are expected. */
   recordYield(service: string): void;
+  /** Records that a call is placed first because its rank or tenant was passed over too often. */
+  recordTurn(service: string): void;
   /** Whether this host has connections to spare for hedges. */
   mayHedge(): boolean;
   /** Acquires one retry or hedge from the retry budget of a service; false when it is exhausted. */
--- a/src/delivery/placer.ts
+++ b/src/delivery/placer.ts
@@ -12,8 +12,9 @@
   hasSlack,
   mustYield,
   type Placement,
-  type QueuedCall,
+  type QueuePosition,
   SentWork,
+  slackMarginMs,
   WaitQueue,
 } from '../placement';
 import { type Random } from '../runtime';
@@ -158,9 +159,26 @@
   }
 
   /** The sort order of a call in the wait queue of its service. */
-  queueOrderOf(call: IncomingCall): Omit<QueuedCall, 'wake'> {
+  queueOrderOf(call: IncomingCall): QueuePosition {
     const objectiveAt = call.arrivedAt + call.route.latencyObjectiveMs;
-    return { rank: this.rankOf(call), latestStart: objectiveAt - this.usualWorkMs(call) };
+    const rank = this.rankOf(call);
+    const workMs = this.usualWorkMs(call);
+    const lastSlotSlowdown = this.parts.lastSlotSlowdowns.get(call.service);
+    return {
+      ...{ call, rank, tenant: call.tenant?.name ?? null },
+      latestStart: objectiveAt - workMs,
+      slackUntil: objectiveAt - slackMarginMs({ workMs, lastSlotSlowdown, rank }),
+    };
+  }
+
+  /** Records that a call, which has left the wait queue, is placed. */
+  recordPlaced(call: IncomingCall): void {
+    this.waitQueueOf(call.service).recordPlaced(this.queueOrderOf(call));
+  }
+
+  /** Whether a waiting call goes first because its rank or tenant was passed over too often. */
+  isDue(call: IncomingCall): boolean {
+    return this.waitQueueOf(call.service).isDue(call);
   }
 
   /** Rank of the call among those that its service may get: 0 most urgent, 1 least urgent. */
@@ -185,6 +203,7 @@
       version: configuration?.version ?? null,
       objectiveLeftMs: Math.round(call.arrivedAt + call.route.latencyObjectiveMs - now),
       waiting: this.waitQueueOf(call.service).size(),
+      isDue: this.isDue(call),
     };
     const target = placement.kind === 'send' ? placement.target : placement.best;
     const targetState = target === null ? undefined : this.parts.targetStates.get(target);
@@ -231,7 +250,8 @@
       leftMs: call.deadline - now,
       objectiveLeftMs: call.arrivedAt + route.latencyObjectiveMs - now,
       isIdempotent: route.isIdempotent,
-      rank: this.rankOf(call),
+      // A call whose turn it is gets the next slot, as the most urgent calls do.
+      rank: this.isDue(call) ? 0 : this.rankOf(call),
       mayWait,
       hasCallAhead: this.waitQueueOf(call.service).hasCallAhead(this.queueOrderOf(call)),
       lastSlotSlowdown: this.parts.lastSlotSlowdowns.get(call.service),
--- a/src/placement/mustYield.ts
+++ b/src/placement/mustYield.ts
@@ -11,9 +11,14 @@
 
 type Slack = Pick<CallRequirements, 'objectiveLeftMs' | 'workMs' | 'lastSlotSlowdown' | 'rank'>;
 
+/** Time in milliseconds before its objective at which a call has no more slack; Infinity if it has none. */
+export function slackMarginMs({ workMs, lastSlotSlowdown, rank }: Omit<Slack, 'objectiveLeftMs'>) {
+  return rank > 0 ? workMs * lastSlotSlowdown * LATEST_START_WORK_FACTOR : Infinity;
+}
+
 /** Whether a call that is not among the most urgent can still be in time when it starts later. */
-export function hasSlack({ objectiveLeftMs, workMs, lastSlotSlowdown, rank }: Slack): boolean {
-  return rank > 0 && objectiveLeftMs > workMs * lastSlotSlowdown * LATEST_START_WORK_FACTOR;
+export function hasSlack({ objectiveLeftMs, ...call }: Slack): boolean {
+  return objectiveLeftMs > slackMarginMs(call);
 }
 
 /**
--- a/standins/fleet/deployments.ts
+++ b/standins/fleet/deployments.ts
@@ -1,4 +1,4 @@
-import { type ModelOptions, type ModelService } from './modelOptions';
+import { type ModelKind, type ModelOptions, type ModelService } from './modelOptions';
 
 type Deployment = Omit<ModelOptions, 'seed' | 'disturbances' | 'seconds' | 'policy'>;
 
@@ -95,3 +95,23 @@
     },
   ],
 };
+
+function orderKind(name: string, tenant: string, perSecond: number, priority: number): ModelKind {
+  return {
+    ...{ name, tenant, perSecond, priority, service: 'orders', workMs: 80 },
+    ...{ objectiveMs: 400, timeLimitMs: 1000, isIdempotent: false, retries: 1 },
+  };
+}
+
+/** Orders: tenants that send very different numbers of calls, of two priorities, to one service. */
+export const ORDERS: Deployment = {
+  zones: ['a', 'b'],
+  hosts: [5, 5],
+  services: [saleService('orders', [5, 5])],
+  kinds: [
+    orderKind('large-order', 'large', 100, 0),
+    orderKind('middle-order', 'middle', 25, 0),
+    orderKind('small-order', 'small', 12, 0),
+    orderKind('report', 'reports', 20, 1),
+  ],
+};
--- a/standins/fleet/index.ts
+++ b/standins/fleet/index.ts
@@ -12,4 +12,4 @@
 export { ModelHost } from './modelHost';
 export { ModelTarget } from './modelTarget';
 export { ActiveDisturbances } from './activeDisturbances';
-export { COURSES, ROUNDS, SALES } from './deployments';
+export { COURSES, ORDERS, ROUNDS, SALES } from './deployments';
--- a/standins/fleet/modelCallers.ts
+++ b/standins/fleet/modelCallers.ts
@@ -133,7 +133,7 @@
       ...{
         arrivedAt: now,
         deadline: now + kind.timeLimitMs,
-        tenant: null,
+        tenant: this.parts.catalog.tenants?.get(kind.tenant ?? '') ?? null,
         callerDeadline: now + 2 * kind.timeLimitMs,
       },
     };
--- a/standins/fleet/modelCatalog.ts
+++ b/standins/fleet/modelCatalog.ts
@@ -5,17 +5,26 @@
   type Configuration,
   type Route,
   type Target,
+  type Tenant,
 } from '../../src/catalog';
 
 import { type ModelOptions } from './modelOptions';
 
+function modelTenants(kinds: ModelOptions['kinds']): readonly Tenant[] | null {
+  const names = new Set(kinds.flatMap(({ tenant }) => tenant ?? []));
+  if (names.size === 0) return null;
+  return [...names].map((name) => ({
+    ...{ name, keyDigests: [name], priority: null, callsPerSecond: 0, burst: 0 },
+  }));
+}
+
 /** The catalog of a modelled deployment. */
 export function modelCatalog({ kinds, services, zones }: ModelOptions): Catalog {
   const routes: Route[] = kinds.map((kind) => ({
     ...{ name: kind.name, hostName: 'model', prefix: `/${kind.name}/` },
     ...{ isIdempotent: kind.isIdempotent, timeLimitMs: kind.timeLimitMs },
     ...{ latencyObjectiveMs: kind.objectiveMs, priority: kind.priority, mostAttempts: 2 },
-    isPublic: false,
+    isPublic: kind.tenant === undefined,
     parts: [kind.service, ...(kind.otherServices ?? [])].map((service) => ({ service, weight: 1 })),
   }));
   const configuration: Configuration = {
@@ -24,7 +33,7 @@
       ...{ name, probePath: '/', connectionLimit: 200 },
       ...{ coldPeriodMs: 3000, coldRatePerSecond: 8 },
     })),
-    tenants: null,
+    tenants: modelTenants(kinds),
     limits: { headerBytes: 16_384, bodyBytes: 1e6, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
   };
   const targets: Target[] = services.flatMap((service) =>
--- a/standins/fleet/modelHost.ts
+++ b/standins/fleet/modelHost.ts
@@ -142,6 +142,7 @@
         attempt: () => {},
         retry: () => {},
         yielded: () => {},
+        turn: () => {},
         connection: () => {},
         attemptTime: () => {},
       },
--- a/standins/fleet/modelOptions.ts
+++ b/standins/fleet/modelOptions.ts
@@ -26,6 +26,8 @@
   readonly timeLimitMs: number;
   readonly isIdempotent: boolean;
   readonly priority: number;
+  /** Tenant that sends this kind; without tenants in any kind the deployment has none. */
+  readonly tenant?: string;
   /** Retries of a caller after a refusal or, if the call is idempotent, after a failure. */
   readonly retries: number;
 }
--- a/test/load/loadPatterns.test.ts
+++ b/test/load/loadPatterns.test.ts
@@ -3,6 +3,7 @@
   FleetModel,
   type ModelReport,
   type ModelDisturbance,
+  ORDERS,
   ROUNDS,
   SALES,
 } from '../../standins/fleet';
@@ -88,6 +89,21 @@
     expect(isServedAQuarterAsOftenAsAll(product)).toBe(true);
   }, 60_000);
 
+  // Load pattern: tenants of different sizes and priorities send 2.5 times as much as fits. Guards against
+  // slots that go to tenants in proportion to what they send, and against a priority that starves.
+  it('gives each tenant a quarter of what the mean tenant gets', async () => {
+    const burst = { kind: 'burst', at: 1, until: SECONDS, factor: 2.5 } as const;
+    const product = await runModel(ORDERS, [burst], 'product');
+    const served = Object.values(product.kinds).map(
+      ({ calls, unserved: missed }) => calls - missed,
+    );
+    const mean = served.reduce((sum, each) => sum + each, 0) / served.length;
+    expect(Math.min(...served)).toBeGreaterThan(mean / 4);
+    expect(shareInTime(product, 'small-order')).toBeGreaterThan(
+      shareInTime(product, 'large-order'),
+    );
+  }, 60_000);
+
   // Load pattern: a burst beyond capacity whose refused callers retry at once.
   it('serves more calls in time than a queue would when callers ignore the retry delay', async () => {
     const { product, naive } = await compare(COURSES, [
