Use 2,500 ms for configuration-apply-ms, and one type KeyValidity

Cause: the fallback of the setting was 2,000 ms while docs/design/tenants-and-load.md says 2,500; the type KeyValidity was declared in freshness and in delivery. Change: the fallback is 2,500 ms. Where it is longer than 2 s, an unknown key still gets 401 with a proof of up to 2 s. The type and its default are in freshness, which delivery may import from. Measured: tsc and eslint clean; test/settings, test/docs, test/balancer/keysAndQuotas and apiKeys pass.

--- a/src/balancer/balancerParts.ts
+++ b/src/balancer/balancerParts.ts
@@ -1,4 +1,5 @@
-import { type CallQuotas, type KeyValidity } from '../delivery';
+import { type CallQuotas } from '../delivery';
+import { type KeyValidity } from '../freshness';
 import { type Lifecycle } from '../lifecycle';
 import { type EventSink } from '../logging';
 import { type PrometheusSink } from '../metrics';
--- a/src/balancer/callPath.ts
+++ b/src/balancer/callPath.ts
@@ -2,7 +2,6 @@
 import {
   type CallEnd,
   type CallQuotas,
-  type KeyValidity,
   CallServer,
   CrashGuard,
   Delivery,
@@ -11,6 +10,7 @@
   ProbeTable,
   type RoutedCall,
 } from '../delivery';
+import { type KeyValidity } from '../freshness';
 import { LastSlotSlowdowns, type LeavingTarget, WorkEstimates } from '../knowledge';
 import { type Supervisor } from '../lifecycle';
 
--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -2,6 +2,7 @@
 import { type Socket } from 'node:net';
 
 import { type Catalog } from '../catalog';
+import { ALWAYS_VALID_KEYS, type KeyValidity } from '../freshness';
 import { type EventSink } from '../logging';
 import { type Clock, type Random, type Timer, TurnQueue } from '../runtime';
 import { retryAfter } from '../placement';
@@ -17,7 +18,6 @@
 import { type CallQuotas, UNLIMITED_QUOTAS } from './callQuotas';
 import { discardBody } from './discardBody';
 import { DELIVERY_EVENTS } from './events';
-import { ALWAYS_VALID_KEYS, type KeyValidity } from './keyValidity';
 import { type MemoryAccount } from './memoryAccount';
 import { type MemoryShare } from './memoryShare';
 import { type RoutedCall, readCall } from './readCall';
--- a/src/delivery/callerCheck.ts
+++ b/src/delivery/callerCheck.ts
@@ -1,8 +1,8 @@
 import { type Catalog, type Route, type Tenant } from '../catalog';
+import { type KeyValidity } from '../freshness';
 
 import { authorizationKey } from './authorizationKey';
 import { type OwnAnswer } from './callerAnswer';
-import { type KeyValidity } from './keyValidity';
 import { staleKeys, unprovenKey } from './tenantAnswers';
 
 /** A caller that may make its call, with the tenant that its key belongs to, if it needs one. */
--- a/src/delivery/delivery.ts
+++ b/src/delivery/delivery.ts
@@ -1,4 +1,5 @@
 import { type Catalog, type Target } from '../catalog';
+import { ALWAYS_VALID_KEYS, type KeyValidity } from '../freshness';
 import { type TargetStatisticsTable, USUAL_PACE_PERCENT } from '../knowledge';
 import { type EventSink } from '../logging';
 import { type RetryBudgetLimits, RetryBudget } from '../placement';
@@ -13,7 +14,6 @@
 import { type CrashGuard } from './crashGuard';
 import { type DeliveryContext } from './deliveryContext';
 import { type IncomingCall } from './incomingCall';
-import { ALWAYS_VALID_KEYS, type KeyValidity } from './keyValidity';
 import { MemoryAccount } from './memoryAccount';
 import { type Placer } from './placer';
 import { type RunningAttempt } from './runningAttempt';
--- a/src/delivery/deliveryContext.ts
+++ b/src/delivery/deliveryContext.ts
@@ -1,3 +1,4 @@
+import { type KeyValidity } from '../freshness';
 import { type TargetStatisticsTable } from '../knowledge';
 import { type EventSink } from '../logging';
 import { type Clock, type Random } from '../runtime';
@@ -6,7 +7,6 @@
 import { type AttemptResult } from './attemptResult';
 import { type CrashGuard } from './crashGuard';
 import { type IncomingCall } from './incomingCall';
-import { type KeyValidity } from './keyValidity';
 import { type Placer } from './placer';
 
 /** Services that the task of a call uses. */
--- a/src/delivery/index.ts
+++ b/src/delivery/index.ts
@@ -21,7 +21,6 @@
 export { type ProbeParts } from './probeTask';
 export { WeightedRoundRobin } from './weightedRoundRobin';
 export { DELIVERY_EVENTS } from './events';
-export { type KeyValidity, ALWAYS_VALID_KEYS } from './keyValidity';
 export { type CallQuotas, UNLIMITED_QUOTAS } from './callQuotas';
 export { type QuotaDecision } from './quotaDecision';
 export { guardSocket } from './guardSocket';
--- a/src/delivery/tenantAnswers.ts
+++ b/src/delivery/tenantAnswers.ts
@@ -1,5 +1,6 @@
+import { type KeyValidity } from '../freshness';
+
 import { type OwnAnswer } from './callerAnswer';
-import { type KeyValidity } from './keyValidity';
 import { type QuotaDecision } from './quotaDecision';
 import { type TenantRefusal } from './tenantRefusal';
 
--- a/src/freshness/index.ts
+++ b/src/freshness/index.ts
@@ -1,4 +1,4 @@
-export { type KeyValidity } from './keyValidity';
+export { ALWAYS_VALID_KEYS, type KeyValidity } from './keyValidity';
 export { type ProofState } from './proofState';
 export { Freshness, type FreshnessParts } from './freshness';
 export { FRESHNESS_EVENTS } from './events';
--- a/src/freshness/keyValidity.ts
+++ b/src/freshness/keyValidity.ts
@@ -9,3 +9,11 @@
   /** Time in milliseconds within which a proof is likely. */
   retryAfterMs(): number;
 }
+
+/** Default for hosts whose keys need no proof. */
+export const ALWAYS_VALID_KEYS: KeyValidity = {
+  mayUseKeys: () => true,
+  proofAgeMs: () => 0,
+  requestProof: () => {},
+  retryAfterMs: () => 0,
+};
--- a/src/settings/balancerSettings.ts
+++ b/src/settings/balancerSettings.ts
@@ -135,10 +135,10 @@
     description: 'Time after which a withdrawn key is no longer used. 5000 if empty.',
   },
   'configuration-apply-ms': {
-    schema: optionalNumber(2000),
+    schema: optionalNumber(2500),
     fallback: '',
     unit: 'ms',
-    description: 'Time by which a published configuration is in force. 2000 if empty.',
+    description: 'Time by which a published configuration is in force. 2500 if empty.',
   },
   'quota-window-s': {
     schema: optionalNumber(5),
