Measure why calls are late under normal load

Change: measure late-causes plays normal load and counts the late calls by what was the case at their first target. The load 'sales' has the calls, targets and uneven zones of that deployment; health checks take time, and connections stay open for as long as its targets state.

--- a/measure/measurements/calmLoad.ts
+++ b/measure/measurements/calmLoad.ts
@@ -32,3 +32,22 @@
     return rows;
   },
 };
+
+const MEASURED_LOADS = ['even', 'sales'] as const;
+
+/** Why calls are late under normal load, by kind of call, counted from the first call on. */
+export const lateCauses: Measurement = {
+  description: 'why calls are late under normal load, by --sizes, --slots and --seed (model)',
+  run: async ({ sizes, slots: slotCounts, seed, seconds }, onProgress) => {
+    const rows: ResultRow[] = [];
+    const runs = MEASURED_LOADS.flatMap((load) =>
+      sizes.flatMap((hostsPerZone) => slotCounts.map((slots) => ({ load, hostsPerZone, slots }))),
+    );
+    for (const run of runs) {
+      const report = await playCalm({ ...run, seed, seconds, warmUpMs: 0 });
+      onProgress(JSON.stringify({ ...run, ...toRow(run.hostsPerZone, run.slots, report) }));
+      for (const [kind, causes] of report.causes) rows.push({ ...run, kind, ...causes });
+    }
+    return rows;
+  },
+};
--- a/measure/measurements/index.ts
+++ b/measure/measurements/index.ts
@@ -1,7 +1,7 @@
 import { type Measurement } from '../measurement';
 
 import { addedLatency } from './addedLatency';
-import { calmLoad } from './calmLoad';
+import { calmLoad, lateCauses } from './calmLoad';
 import { coldStart } from './coldStart';
 import { configSpread } from './configSpread';
 import { controlCost } from './controlCost';
@@ -21,6 +21,7 @@
   stragglers,
   'fail-fast': failFast,
   'calm-load': calmLoad,
+  'late-causes': lateCauses,
   'cold-start': coldStart,
   'overload-priority': overloadPriority,
   'load-shift': loadShift,
--- a/standins/fleet/modelConnections.ts
+++ b/standins/fleet/modelConnections.ts
@@ -10,7 +10,10 @@
 
   private readonly idleUntil = new Map<string, number[]>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly idleMs = IDLE_TIMEOUT_MS,
+  ) {}
 
   /** Whether there is an idle connection to the target. */
   hasIdle(target: string): boolean {
@@ -24,7 +27,7 @@
 
   /** Returns a connection after its call. */
   release(target: string): void {
-    this.open(target).push(this.clock.now() + IDLE_TIMEOUT_MS);
+    this.open(target).push(this.clock.now() + this.idleMs);
   }
 
   private open(target: string): number[] {
--- a/standins/fleet/modelTarget.ts
+++ b/standins/fleet/modelTarget.ts
@@ -56,6 +56,9 @@
 
   private noiseFactor = 1;
 
+  /** Time of the last change of the noise. */
+  pacedAt = -Infinity;
+
   // Starts at a random phase, so that targets do not change their pace at the same time.
   private nextNoiseAt: number;
 
@@ -133,7 +136,9 @@
     const { noise, kneeShare, kneeFactor, slots } = this.service;
     if (now >= this.nextNoiseAt) {
       this.nextNoiseAt += noise.everyMs;
-      this.noiseFactor = this.random.next() < noise.share ? noise.factor : 1;
+      const factor = this.random.next() < noise.share ? noise.factor : 1;
+      if (factor !== this.noiseFactor) this.pacedAt = now;
+      this.noiseFactor = factor;
     }
     const knee = this.running.length > kneeShare * slots ? kneeFactor : 1;
     const done = milliseconds / (this.noiseFactor * this.slowFactor * knee);
--- a/test/load/calmScenario.ts
+++ b/test/load/calmScenario.ts
@@ -1,27 +1,24 @@
-import { type KindReport, type ModelOptions } from '../../standins/fleet';
+import { type KindReport } from '../../standins/fleet';
 
+import { CALM_LOADS, type CalmSize } from './calmLoads';
+import { type CausesOfKind, LateCallCauses } from './lateCallCauses';
 import { NetworkedFleet } from './networkedFleet';
 
-const ZONES = ['a', 'b', 'c'];
-const CALLS_PER_HOST_AND_SECOND = 6.5;
-const UTILIZATION = 0.2;
-const WORK_MS: Readonly<Record<string, number>> = { lookup: 70, order: 80, sale: 90 };
-const OBJECTIVE_MS = 230;
-// Slowdown of a target while all of its slots are in use.
-const KNEE_FACTOR = 1.3;
 const SECOND_MS = 1000;
-// Calls come once the hosts know each other, and are counted once connections are open.
+// Calls come once the hosts know each other.
 const CALLS_AT_MS = 4000;
-const COUNTED_FROM_MS = 6000;
+const WARM_UP_MS = 2000;
 // Time for the last calls to end.
 const DRAIN_MS = 2000;
 
 /** A fleet under normal load. */
-export interface CalmScenario {
-  readonly hostsPerZone: number;
-  readonly slots: number;
+export interface CalmScenario extends CalmSize {
+  /** By default `even`. */
+  readonly load?: keyof typeof CALM_LOADS;
   readonly seed: number;
   readonly seconds: number;
+  /** Time of calls before they are counted; by default until connections are open. */
+  readonly warmUpMs?: number;
   /** Changes the fleet before the calls begin. */
   readonly disturb?: (fleet: NetworkedFleet) => void;
 }
@@ -43,28 +40,8 @@
   /** Datagrams and bytes a second and host. */
   readonly datagrams: number;
   readonly bytes: number;
-}
-
-function deployment(scenario: CalmScenario): Omit<ModelOptions, 'seed'> {
-  const { hostsPerZone, slots } = scenario;
-  const kinds = Object.entries(WORK_MS);
-  const perSecondInZone = (CALLS_PER_HOST_AND_SECOND * hostsPerZone) / kinds.length;
-  const targetsFor = (workMs: number) =>
-    Math.max(1, Math.round((perSecondInZone * workMs) / (SECOND_MS * UTILIZATION * slots)));
-  return {
-    ...{ zones: ZONES, hosts: ZONES.map(() => hostsPerZone), disturbances: [] },
-    ...{ seconds: 0, policy: 'product' as const },
-    services: kinds.map(([name, workMs]) => ({
-      ...{ name, slots, targets: ZONES.map(() => targetsFor(workMs)), queueLimit: 6 },
-      ...{ whenFull: 'refuse' as const, kneeFactor: KNEE_FACTOR, kneeShare: slots === 1 ? 1 : 0.8 },
-      noise: { share: 0.25, factor: 7, everyMs: 500 },
-    })),
-    kinds: kinds.map(([name, workMs]) => ({
-      ...{ name, service: name, workMs, objectiveMs: OBJECTIVE_MS, timeLimitMs: 1200 },
-      ...{ isIdempotent: true, priority: 1, retries: 1 },
-      perSecond: perSecondInZone * ZONES.length,
-    })),
-  };
+  /** Why calls were late, by kind. */
+  readonly causes: ReadonlyMap<string, CausesOfKind>;
 }
 
 function sum(numbers: readonly number[]): number {
@@ -72,7 +49,8 @@
 }
 
 function busiestToMean(callsByTarget: ReadonlyMap<string, number>, fleet: NetworkedFleet): number {
-  const ratios = Object.keys(WORK_MS).map((service) => {
+  const services = new Set([...fleet.targets.values()].map(({ target }) => target.service));
+  const ratios = [...services].map((service) => {
     const counts = [...fleet.targets.values()]
       .filter(({ target }) => target.service === service)
       .map(({ target }) => callsByTarget.get(target.id) ?? 0);
@@ -100,15 +78,18 @@
 
 /** Plays normal load on targets with few slots, whose pace changes, and returns its figures. */
 export async function playCalm(scenario: CalmScenario): Promise<CalmReport> {
+  const deployment = CALM_LOADS[scenario.load ?? 'even'](scenario);
+  const countedFromMs = CALLS_AT_MS + (scenario.warmUpMs ?? WARM_UP_MS);
+  const causes = new LateCallCauses(countedFromMs);
   const fleet = new NetworkedFleet({
-    ...deployment(scenario),
-    ...{ seed: scenario.seed, hasNotices: true },
+    ...deployment,
+    ...{ seed: scenario.seed, hasNotices: true, observer: causes },
   });
   await fleet.advanceTo(CALLS_AT_MS);
   scenario.disturb?.(fleet);
-  const end = COUNTED_FROM_MS + scenario.seconds * SECOND_MS;
+  const end = countedFromMs + scenario.seconds * SECOND_MS;
   fleet.startCallers(end);
-  await fleet.advanceTo(COUNTED_FROM_MS);
+  await fleet.advanceTo(countedFromMs);
   const before = totalsOf(fleet);
   await fleet.advanceTo(end);
   const after = totalsOf(fleet);
@@ -117,7 +98,7 @@
   const count = (name: keyof KindReport) =>
     sum(outcomes.map((kind) => kind[name])) - sum(before.kinds.map((kind) => kind[name]));
   const calls = count('calls');
-  const arrivals = fleet.records.all(COUNTED_FROM_MS, end);
+  const arrivals = fleet.records.all(countedFromMs, end);
   const callsByTarget = new Map<string, number>();
   for (const { target } of arrivals)
     callsByTarget.set(target, (callsByTarget.get(target) ?? 0) + 1);
@@ -132,5 +113,6 @@
     connections: (after.connections - before.connections) / calls,
     datagrams: (after.datagrams - before.datagrams) / hostSeconds,
     bytes: (after.bytes - before.bytes) / hostSeconds,
+    causes: causes.byKind,
   };
 }
--- a/test/load/networkedFleet.ts
+++ b/test/load/networkedFleet.ts
@@ -27,6 +27,21 @@
 export interface NetworkedFleetOptions extends ModelOptions {
   /** Whether hosts tell each other which targets are leaving. */
   readonly hasNotices: boolean;
+  readonly observer?: FleetObserver;
+  /** Calls of the zones in proportion to each other; by default all hosts get as many. */
+  readonly zoneWeights?: readonly number[];
+  /** Time that a health check takes at the usual pace; 0 by default. */
+  readonly probeMs?: number;
+  /** Time for which a host keeps an idle connection to a target. */
+  readonly idleMs?: number;
+}
+
+/** Observes the calls of a networked fleet. */
+export interface FleetObserver {
+  /** A call has reached a target, which has not yet taken it. */
+  onArrival(host: NetworkedHost, call: IncomingCall, target: ModelTarget, now: number): void;
+  /** A host has ended a call. */
+  onEnd(call: IncomingCall, end: CallEnd, now: number): void;
 }
 
 /**
@@ -80,6 +95,7 @@
         this.starts += 1;
         const host: NetworkedHost = new NetworkedHost({
           ...{ clock, address, ledger, exchange, targets, hasNotices: options.hasNotices },
+          idleMs: options.idleMs,
           name: `${address.id} (start ${this.starts})`,
           random: new SeededRandom(seedSource.integer(2 ** 30)),
           workMsOf: (call) => this.callers.workMsOf(call),
@@ -162,18 +178,20 @@
     tick();
     for (const target of this.targets.values()) {
       const probe = () => {
+        const tookMs = ((options.probeMs ?? 0) * target.pace()) / 100;
         for (const host of this.hosts.values())
-          if (host.subsets.isProber(target.target.id)) host.model.probe(target);
-        clock.setTimer(clock.now() + PROBE_INTERVAL_MS, probe);
+          if (host.subsets.isProber(target.target.id))
+            clock.setTimer(clock.now() + tookMs, () => host.model.probe(target));
+        clock.setTimer(clock.now() + PROBE_INTERVAL_MS + tookMs, probe);
       };
       clock.setTimer(PROBE_INTERVAL_MS * random.next(), probe);
     }
   }
 
   private async serve(call: IncomingCall): Promise<CallEnd> {
-    const ready = [...this.hosts.values()].filter((host) => host.isReady());
-    const host = ready[this.random.integer(ready.length)]!;
+    const host = this.chooseHost();
     const end = await host.model.run(call);
+    this.options.observer?.onEnd(call, end, this.clock.now());
     if (end.kind === 'own' && end.own.kind === 'notRun') this.refusals += 1;
     if (end.kind === 'answer' && end.answer.head.metadata.isLeaving) {
       const { target } = end.answer.head.metadata;
@@ -182,8 +200,23 @@
     return end;
   }
 
+  private chooseHost(): NetworkedHost {
+    const ready = [...this.hosts.values()].filter((host) => host.isReady());
+    const { zones, zoneWeights } = this.options;
+    if (zoneWeights === undefined) return ready[this.random.integer(ready.length)]!;
+    const point = this.random.next() * zoneWeights.reduce((sum, weight) => sum + weight, 0);
+    let passed = 0;
+    const zone = zones.find((_, at) => {
+      passed += zoneWeights[at]!;
+      return point < passed;
+    });
+    const near = ready.filter((host) => host.zone === zone);
+    return near[this.random.integer(near.length)]!;
+  }
+
   private recordArrival(host: NetworkedHost, call: IncomingCall, target: ModelTarget): void {
     const now = this.clock.now();
+    this.options.observer?.onArrival(host, call, target, now);
     const { running, waiting } = target.load();
     this.records.recordArrival({
       ...{ host: host.name, hostStartedAt: host.startedAt, target: target.target.id },
--- a/test/load/networkedHost.ts
+++ b/test/load/networkedHost.ts
@@ -22,12 +22,16 @@
   readonly exchange: () => Exchange;
   /** Whether hosts tell each other which targets are leaving. */
   readonly hasNotices: boolean;
+  /** Time for which it keeps an idle connection to a target. */
+  readonly idleMs?: number | undefined;
 }
 
 /** A modelled host whose knowledge comes from messages of a simulated network. */
 export class NetworkedHost {
   readonly name: string;
 
+  readonly zone: string;
+
   readonly startedAt: number;
 
   readonly model: ModelHost;
@@ -43,6 +47,7 @@
   constructor(private readonly parts: NetworkedHostParts) {
     const { address, ledger, exchange } = parts;
     this.name = parts.name;
+    this.zone = address.zone;
     this.startedAt = parts.clock.now();
     const membership = () => exchange().membership;
     const hosts = () => [
@@ -52,7 +57,7 @@
         .map(({ id }) => id),
     ];
     this.subsets = new TargetSubsets({ hostId: address.id, zone: address.zone, hosts });
-    this.connections = new ModelConnections(parts.clock);
+    this.connections = new ModelConnections(parts.clock, parts.idleMs);
     this.model = new ModelHost(address.id, address.zone, {
       ...parts,
       connections: this.connections,
