Show the proofs of hosts and the use of quotas in limpetknotctl

Cause: limpetknotctl did not read the hosts of the balancer; their status has the deadline and age of the proof and the quotas that a host owns, one host at a time. Change: `limpetknotctl tenants ADDRESS:PORT` asks the host with this control address and all that are listed, and shows for each how long it may use keys and the age of its proof, and the quotas of tenants summed over the hosts. The status lists the IP addresses of the other hosts.

--- a/src/balancer/describeBalancer.ts
+++ b/src/balancer/describeBalancer.ts
@@ -55,6 +55,7 @@
     hosts: hosts.map((host) => ({
       id: host.id,
       zone: host.zone,
+      ip: host.ip,
       asOf: host.asOf,
       source: host.source,
       heardAge: age(now, host.receivedAt),
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -1,6 +1,7 @@
 import { type Command } from './command';
 import { checkSheet, loadSheet, showSheet } from './sheetCommands';
 import { showStatus } from './showStatus';
+import { showTenants } from './showTenants';
 import { takeZoneBack, takeZoneOut } from './zoneCommands';
 
 /** Commands by name. */
@@ -41,4 +42,12 @@
     description: 'Shows zones, gateways, targets and open warnings.',
     run: showStatus,
   },
+  tenants: {
+    argument: 'ADDRESS:PORT',
+    takesForce: false,
+    description:
+      'Shows how long each host of the balancer may use keys, and the quotas of tenants summed over ' +
+      'the hosts; asks the host with this control address and all that are listed.',
+    run: showTenants,
+  },
 };
