Wait for what has happened in tests of long bodies and planned stops

Cause: memoryBounds compared what had been answered 2 s and 3.5 s after the callers began to send. On a busy machine the process had not read all bodies by then: 58 refusals instead of over 100 after 2 s, refusals after it, and 504s only 3.4 s and more after the start, so that callers had no answer yet. A caller that reads its answers again after 2 s did so before the host had given it up. plannedStop sent SIGTERM after 200 ms, when calls behind others were not read yet; these are left to their callers, as designed. Change: long bodies are watched until each call is refused or has reached a server. All refusals must come before any call ends at its time limit (12 s), over 100 of them, and all others end with one 504. The stop begins when the server runs all calls. Waits leave out the time for which the balancer was ready to run and got no processor.

--- a/test/balancer/memoryBounds.test.ts
+++ b/test/balancer/memoryBounds.test.ts
@@ -4,6 +4,8 @@
 import { TestPlatform } from '../support/testPlatform';
 
 const ROUTE = { prefix: '/read/', service: 'reads', isIdempotent: true, timeLimitMs: 3000 };
+// Long enough for a busy machine to take in all bodies before the first call ends.
+const HELD_ROUTE = { ...ROUTE, prefix: '/hold/', timeLimitMs: 12_000 };
 const GOOD_ROUTE = { prefix: '/good/', service: 'good', isIdempotent: true, timeLimitMs: 2000 };
 const MEBIBYTE = 1024 * 1024;
 const MEMORY_LIMIT_BYTES = 350 * MEBIBYTE;
@@ -30,7 +32,7 @@
     balancer = new BalancerProcess(platform);
     servers = [];
     callers = [];
-    platform.configure([ROUTE, GOOD_ROUTE]);
+    platform.configure([ROUTE, HELD_ROUTE, GOOD_ROUTE]);
     await platform.addServer('good', { id: 'i-good', workMs: 5 });
   });
 
@@ -56,17 +58,18 @@
     balancer.writeSettings();
     endOfProcess = balancer.launch([...DEPLOYED_FLAGS, MAIN]);
     await balancer.untilReady();
+    platform.clock.leaveOut(() => balancer.heldUpMs());
     await platform.sleep(300);
   }
 
-  /** Watches the process for some seconds; resolves to its largest resident memory in bytes. */
-  async function watch(seconds: number): Promise<number> {
+  /** Watches the process for some seconds or until `isDone`; resolves to its largest resident memory in bytes. */
+  async function watch(seconds: number, isDone = () => false): Promise<number> {
     let hasEnded = false;
     void endOfProcess.then(() => {
       hasEnded = true;
     });
     let most = 0;
-    for (let check = 0; check < seconds * 20; check += 1) {
+    for (let check = 0; check < seconds * 20 && !isDone(); check += 1) {
       await platform.sleep(50);
       if (hasEnded) throw new Error(`the process ended: ${balancer.output.slice(-2000)}`);
       most = Math.max(most, balancer.residentBytes());
@@ -104,13 +107,29 @@
     await start(() => {}, 80 * MEBIBYTE);
     const body = 'x'.repeat(250_000);
     const lines = [`Content-Length: ${body.length}`];
-    connectCallers(200, (id) => `${head('POST', id, ...lines)}${body}`);
-    expect(await watch(2)).toBeLessThan(MEMORY_LIMIT_BYTES);
-    const refused = callers.filter(({ text }) => /503[^]*not run: noMemory/.test(text));
+    const heldHead = (id: string) =>
+      head('POST', id, ...lines)
+        .replace('/read/', '/hold/')
+        .replace('4000', '14000');
+    connectCallers(200, (id) => `${heldHead(id)}${body}`);
+    const answered = () => callers.filter(({ text }) => text !== '');
+    // Some are sent to a second server.
+    const sent = () => new Set(servers.flatMap(({ received }) => received)).size;
+    const isSettled = () => answered().length + sent() === callers.length;
+    expect(await watch(20, isSettled)).toBeLessThan(MEMORY_LIMIT_BYTES);
+    // No call has ended by its time limit yet, and the servers answer none.
+    const refused = answered();
     expect(refused.length).toBeGreaterThan(100);
-    expect(refused.every(({ text }) => /^retry-after: \d/im.test(text))).toBe(true);
+    for (const { text } of refused) {
+      expect(text).toMatch(/503[^]*not run: noMemory/);
+      expect(text).toMatch(/^retry-after: \d/im);
+    }
+    expect(refused.length + sent()).toBe(callers.length);
+    expect(await watch(2)).toBeLessThan(MEMORY_LIMIT_BYTES);
     await expectServing();
-    await platform.sleep(1500);
+    expect(
+      await watch(HELD_ROUTE.timeLimitMs / 500, () => answered().length === callers.length),
+    ).toBeLessThan(MEMORY_LIMIT_BYTES);
     const others = callers.filter((caller) => !refused.includes(caller));
     expect(others.map((caller) => caller.statuses())).toEqual(others.map(() => ['504']));
     expect((await platform.call('POST', '/good/x', { body })).status).toBe(200);
--- a/test/balancer/plannedStop.test.ts
+++ b/test/balancer/plannedStop.test.ts
@@ -25,6 +25,7 @@
     balancer.writeSettings();
     exited = balancer.launch();
     await balancer.untilReady();
+    platform.clock.leaveOut(() => balancer.heldUpMs());
     await platform.sleep(300);
   });
 
@@ -62,7 +63,8 @@
       );
       caller.write(lookups.join(''));
     });
-    await platform.sleep(200);
+    // Calls that are not read when the stop begins are left to their callers.
+    await platform.until(() => platform.servers.get('i-read')!.runs.length === 60);
     balancer.child!.kill('SIGTERM');
     expect(await exited).toBe(0);
     expect(callers.map((caller) => caller.statuses().join())).toEqual(
@@ -79,7 +81,7 @@
       caller.write(`GET /read/x ${LOOKUP_HEAD}Request-Id: s-${index}\r\n\r\n`);
       caller.pause();
     });
-    await platform.sleep(200);
+    await platform.until(() => platform.servers.get('i-read')!.runs.length === 10);
     balancer.child!.kill('SIGTERM');
     for (const caller of callers) setTimeout(() => caller.resume(), 4500);
     expect(await exited).toBe(0);
--- a/test/support/balancerProcess.ts
+++ b/test/support/balancerProcess.ts
@@ -12,6 +12,7 @@
 /** Program of the balancer. */
 export const MAIN = join(__dirname, '..', '..', 'dist', 'platform', 'main.js');
 const BYTES_PER_KILOBYTE = 1024;
+const NANOSECONDS_PER_MILLISECOND = 1e6;
 
 /** A balancer in a process of its own, with its settings file, for a test. */
 export class BalancerProcess {
@@ -128,6 +129,19 @@
     return Number(/VmRSS:\s+(\d+)/.exec(status)![1]) * BYTES_PER_KILOBYTE;
   }
 
+  /**
+   * Time for which the event loop was ready to run and got no processor, in milliseconds; 0 where the
+   * kernel does not tell, or once the process has ended.
+   */
+  heldUpMs(): number {
+    try {
+      const [, waited] = readFileSync(`/proc/${this.child!.pid}/schedstat`, 'utf8').split(' ');
+      return Number(waited) / NANOSECONDS_PER_MILLISECOND;
+    } catch {
+      return 0;
+    }
+  }
+
   /** Ends the process and removes its files. */
   close(): void {
     this.child?.kill('SIGKILL');
