Accept waiting connections before the share of callers that send much

Cause: Node.js 20.19 accepts one connection in each turn of the event loop, and a turn with a portion of a caller that sends calls behind each other took 40 to 250 ms on a busy machine. A connection behind 40 others waited for as many such turns: the first call beside 50 such callers was read 2.3 s after it was sent, and then answered within 54 ms. Change: a turn in which a connection was accepted leaves out the portions, at most 32 times in a row.

--- a/src/delivery/callServer.ts
+++ b/src/delivery/callServer.ts
@@ -177,6 +177,9 @@
   }
 
   private addConnection(socket: Socket): void {
+    // Node.js accepts one connection in each turn of the event loop. Behind many others, a connection would
+    // wait for as many turns with the full share of callers that send much.
+    this.turns.putOff();
     this.connections.set(socket, new CallerConnection(socket, this.parts.clock, this.turns));
     socket.once('close', () => this.connections.delete(socket));
   }
--- a/src/runtime/turnQueue.ts
+++ b/src/runtime/turnQueue.ts
@@ -1,5 +1,8 @@
 import { type Clock } from './clock';
 
+// Tasks are put off for at most so many turns in a row.
+const MAX_TURNS_PUT_OFF = 32;
+
 /**
  * Runs tasks in their order, each with what it triggers at once, for a share of each turn of the event
  * loop. In between the other input is read and timers fire.
@@ -11,6 +14,10 @@
 
   private turnEndsAt = 0;
 
+  private isPutOff = false;
+
+  private turnsPutOff = 0;
+
   constructor(
     private readonly clock: Clock,
     private readonly shareMs: number,
@@ -26,7 +33,20 @@
     this.nextTurn(() => this.beginTurn());
   }
 
+  /** Leaves the next turn of the event loop to other work, but not for long if this goes on. */
+  putOff(): void {
+    this.isPutOff = true;
+  }
+
   private beginTurn(): void {
+    if (this.isPutOff && this.turnsPutOff < MAX_TURNS_PUT_OFF) {
+      this.isPutOff = false;
+      this.turnsPutOff += 1;
+      this.nextTurn(() => this.beginTurn());
+      return;
+    }
+    this.isPutOff = false;
+    this.turnsPutOff = 0;
     this.turnEndsAt = this.clock.now() + this.shareMs;
     this.runNext();
   }
--- a/test/runtime.test.ts
+++ b/test/runtime.test.ts
@@ -3,6 +3,7 @@
   rendezvousChoice,
   rendezvousOrder,
   SeededRandom,
+  TurnQueue,
   waitUntil,
 } from '../src/runtime';
 
@@ -31,6 +32,23 @@
   expect(clock.now()).toBe(0);
 });
 
+// Guards against a connection that waits behind many others for as many full turns, and against tasks
+// that wait for as long as connections go on arriving.
+test('a turn queue that is put off leaves turns to other work, but not all', () => {
+  const turns: (() => void)[] = [];
+  const queue = new TurnQueue(new ManualClock(), 5, (run) => turns.push(run));
+  let hasRun = false;
+  let turnsPutOff = 0;
+  queue.add(() => {
+    hasRun = true;
+  });
+  for (; !hasRun && turnsPutOff < 100; turnsPutOff += 1) {
+    queue.putOff();
+    turns.shift()!();
+  }
+  expect(turnsPutOff).toBe(33);
+});
+
 // Guards against a hash that moves keys of nodes other than the removed one.
 test('only the keys of a removed node move', () => {
   const nodes = ['a', 'b', 'c', 'd', 'e'];
