Count the processor time of all threads in the test of the clock

Cause: the test keeps the process busy until it has used 300 ms of processor time, and expects that the clock counted them. Change: it expects the time that has passed, at most 300 ms. As strict: all time for which the process was busy must count.

--- a/test/support/runningClock.test.ts
+++ b/test/support/runningClock.test.ts
@@ -26,14 +26,17 @@
   // Guards against bounds that a process which keeps itself busy, or waits in vain, meets.
   it('counts the time for which the process is busy, and for which it waits', async () => {
     const before = clock.now();
+    const startedAt = performance.now();
     const { user, system } = process.cpuUsage();
     const usedMs = () => {
       const used = process.cpuUsage({ user, system });
       return (used.user + used.system) / 1000;
     };
     while (usedMs() < GAP_MS);
+    // Several threads of the process may use more processor time together than has passed.
+    const passedMs = performance.now() - startedAt;
     const busyMs = clock.now() - before;
-    expect(busyMs).toBeGreaterThanOrEqual(GAP_MS - 1);
+    expect(busyMs).toBeGreaterThanOrEqual(Math.min(GAP_MS, passedMs) - 1);
     await new Promise<void>((resolve) => {
       clock.setTimer(clock.now() + GAP_MS, resolve);
     });
