--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -85,12 +85,15 @@
 }
 
 class Deployment {
-  /** `zones`: names; `perZone`: machines in each. */
-  constructor({ zones, perZone, store }) {
-    Object.assign(this, { zones, perZone, store });
+  /** `zones`: names; `perZone`: machines in each; `storeOf`: address of the store for a machine. */
+  constructor({ zones, perZone, store, storeOf, bounds = {} }) {
+    Object.assign(this, { zones, perZone, store, storeOf, bounds });
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'review-2-'));
     this.machines = [];
-    this.agents = [];
+    // Also when the script ends by an error.
+    process.on('exit', () => {
+      for (const { child } of this.machines) child?.kill('SIGKILL');
+    });
   }
 
   async start() {
@@ -114,10 +117,10 @@
         },
         internal_port_range: [base + 3, base + 7],
         seeds,
-        platform: { address: this.store },
+        platform: { address: this.storeOf?.(this.machines.at(-1)) ?? this.store },
         bootstrap: true,
         limits: { memory_mb: 350, fd_limit: 4100 },
-        bounds: BOUNDS,
+        bounds: { ...BOUNDS, ...this.bounds },
       };
       const template = fs.readFileSync(path.join(ROOT, deployLine('template')), 'utf8');
       this.machines.at(-1).file = path.join(this.folder, `${name}.conf`);
@@ -190,7 +193,7 @@
 }
 
 /** A configuration as `op/config` holds it. */
-function configuration(version, routes) {
+function configuration(version, routes, limits = {}) {
   const services = [...new Set(routes.map(({ service }) => service))];
   return {
     version,
@@ -211,8 +214,9 @@
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: 1_000_000,
-      header_timeout_ms: 5000,
+      header_timeout_ms: 3000,
       idle_timeout_ms: 15_000,
+      ...limits,
     },
   };
 }
--- a/review/lib-2/server.js
+++ b/review/lib-2/server.js
@@ -7,8 +7,8 @@
 const http = require('node:http');
 
 class Server {
-  constructor({ id, service, zone, workMs, slots = 6 }) {
-    Object.assign(this, { id, service, zone, workMs, slots });
+  constructor({ id, service, zone, workMs, slots = 6, losesAnswer = () => false }) {
+    Object.assign(this, { id, service, zone, workMs, slots, losesAnswer });
     this.born = Date.now();
     this.running = 0;
     this.queue = [];
@@ -92,6 +92,8 @@
     };
     const timer = setTimeout(() => {
       end('ran');
+      // The answer is lost; the connection stays.
+      if (this.losesAnswer(request)) return;
       const headers = {
         'request-id': arrival.id,
         'upstream-signature': `${this.id}.${arrival.id}`,
