--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -91,6 +91,7 @@
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'review-2-'));
     this.machines = [];
     // Also when the script ends by an error.
+    for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => process.exit(2));
     process.on('exit', () => {
       for (const { child } of this.machines) child?.kill('SIGKILL');
     });
