Log which deletions of targets are withheld, and when they are applied

Cause: nothing told why a host keeps a removed target: its reader withholds the deletion, another host has not passed it on, or the source returned it late. Change: events 2008 and 2009 name the keys and the time left.

--- a/src/source/catalogReader.ts
+++ b/src/source/catalogReader.ts
@@ -225,6 +225,8 @@
   private releaseDeletions(changes: CatalogChanges): CatalogChanges {
     const released = [...this.withheldDeletions.values()];
     this.withheldDeletions.clear();
+    if (released.length > 0)
+      this.parts.events.emit(SOURCE_EVENTS.released, { keys: released.map(({ key }) => key) });
     if (changes.after === null) {
       this.mustReadAllAgain = false;
       return changes;
@@ -264,6 +266,11 @@
       if (this.isUnannouncedDeletion(record)) this.withheldDeletions.set(record.key, record);
       else records.push(record);
     }
+    if (this.withheldDeletions.size > 0)
+      this.parts.events.emit(SOURCE_EVENTS.withheld, {
+        keys: [...this.withheldDeletions.keys()],
+        leftMs: Math.round(this.expiryGraceUntil - this.parts.clock.now()),
+      });
     const { asOf: after } = this.parts.ledger.catalog();
     if (this.mustReadAllAgain) return { after, asOf: after, records };
     const withheldRevisions = [...this.withheldDeletions.values()].map(({ revision }) => revision);
--- a/src/source/events.ts
+++ b/src/source/events.ts
@@ -25,4 +25,10 @@
     level: 'warn',
     message: 'an answer of the catalog source states no usable era; the known one counts',
   },
+  withheld: {
+    number: 2008,
+    level: 'info',
+    message: 'deletions of targets are withheld, since their entries may only have expired',
+  },
+  released: { number: 2009, level: 'info', message: 'withheld deletions are applied' },
 });
