Tell an outage of the source from a closed connection before removals are withheld

Where a target had exited, the caller got 502.

Cause: CatalogReader took each failed request for an outage in which entries may have expired, and withheld removals for a fixed 2.3 s. Evidence: with the events 2008 and 2009 the readers receive each removal within 10 ms and withhold it with 2,300 ms left, after 2001 "other side closed".

Change: an outage is a gap between the known answers of the source that is long enough for an entry to expire, from the renewal interval of the settings (AnswerHistory). A closed connection is opened again before the host counts as failing. The withholding is a class of its own. Why it works: a closed connection leaves no such gap, and no removal after a gap outlasts its bound.

The first test of configurationSpread refused readers for 0.6 s, which is no outage now.

--- a/src/balancer/makeReader.ts
+++ b/src/balancer/makeReader.ts
@@ -1,7 +1,13 @@
 import { type Ledger } from '../catalog';
 import { type Exchange } from '../exchange';
 import { type Freshness } from '../freshness';
-import { CatalogReader, mustRead, SOURCE_EVENTS } from '../source';
+import {
+  AnswerHistory,
+  CatalogReader,
+  mustRead,
+  shortestExpiringOutage,
+  SOURCE_EVENTS,
+} from '../source';
 
 import { type BalancerParts } from './balancerParts';
 import { BALANCER_METRICS } from './metrics';
@@ -28,6 +34,8 @@
   return new CatalogReader({
     ...{ clock, random, events, ledger },
     source: adapter.openSource(settings.source, clock, events),
+    answers: new AnswerHistory(shortestExpiringOutage(settings['target-renewal-ms'])),
+    removalApplyMs: settings['removal-apply-ms'],
     mustRead: () =>
       mustRead({
         hostId,
--- a/src/settings/balancerSettings.ts
+++ b/src/settings/balancerSettings.ts
@@ -140,6 +140,20 @@
     unit: 'ms',
     description: 'Time by which a published configuration is in force. 2500 if empty.',
   },
+  'removal-apply-ms': {
+    schema: optionalNumber(2000),
+    fallback: '',
+    unit: 'ms',
+    description: 'Time after which a removed target gets no more calls. 2000 if empty.',
+  },
+  'target-renewal-ms': {
+    schema: optionalNumber(1500),
+    fallback: '',
+    unit: 'ms',
+    description:
+      'Interval at which targets renew their entries in the source; entries expire after three ' +
+      'without a renewal. 1500 if empty.',
+  },
   'quota-window-s': {
     schema: optionalNumber(5),
     fallback: '',
--- a/src/source/catalogReader.ts
+++ b/src/source/catalogReader.ts
@@ -1,13 +1,15 @@
 import { type Result } from 'ts-results';
 
-import { type CatalogChanges, type CatalogRecord, eraOf, type Ledger } from '../catalog';
+import { type CatalogChanges, type CatalogRecord, type Ledger } from '../catalog';
 import { type EventSink } from '../logging';
 import { type Clock, type Random, waitUntil } from '../runtime';
 
+import { type AnswerHistory } from './answerHistory';
 import { type CatalogSource } from './catalogSource';
 import { SOURCE_EVENTS } from './events';
 import { type SourceError } from './sourceError';
 import { type SourceState } from './sourceState';
+import { UncertainDeletions } from './uncertainDeletions';
 
 // A dead connection is detected WATCH_DURATION_MS + WATCH_GRACE_MS after the watch began. Each zone
 // has its own reader, so meanwhile changes arrive from the readers of other zones.
@@ -16,9 +18,11 @@
 const READ_TIMEOUT_MS = 700;
 // Changes that follow each other within this time are read with one request.
 const BATCH_DELAY_MS = 350;
-// Entries that expired during an outage of the source are published again within 2 seconds of its
-// recovery. Until then, a missing target that did not announce its leaving is kept.
-const EXPIRY_GRACE_MS = 2300;
+// Watch duration while deletions are withheld, so that an answer of another host that shows them to be
+// certain is soon acted on.
+const WITHHOLDING_WATCH_MS = 500;
+// Keeps the readers of all zones from opening their connections again at the same moment.
+const RECONNECT_SPREAD_MS = 50;
 const BASE_RETRY_DELAY_MS = 200;
 const MAX_RETRY_DELAY_MS = 2000;
 // Interval at which a host that does not read rechecks whether it must.
@@ -31,6 +35,10 @@
   readonly source: CatalogSource;
   readonly ledger: Ledger;
   readonly events: EventSink;
+  /** Answers of the source to any host, to which those to this one are added. */
+  readonly answers: AnswerHistory;
+  /** Time within which a removed target gets no more calls, in milliseconds. */
+  readonly removalApplyMs: number;
   /** Whether this host currently has to read the source. */
   readonly mustRead: () => boolean;
   /** Called with each set of changes; `newerRecords` are those new to the ledger. */
@@ -44,6 +52,11 @@
   readonly onStateChange: () => void;
 }
 
+// A source that refuses the history of a request has answered it.
+function isAnswer({ kind }: SourceError): boolean {
+  return kind === 'forgotten' || kind === 'restored';
+}
+
 /** Task that keeps the ledger up to date from the source while this host has to read it. */
 export class CatalogReader {
   private currentState: SourceState = 'idle';
@@ -61,19 +74,11 @@
    */
   private readRevision = 0;
 
-  /** Monotonic time until which a missing target may have expired although it is still running. */
-  private expiryGraceUntil = -Infinity;
-
-  /** Newest era of the source for whose first whole read the grace period was begun. */
-  private graceEra = 0;
-
-  /** Whether targets were missing in a whole read, but may only have expired. */
-  private mustReadAllAgain = false;
-
-  /** Deletions by key, applied unless a newer record arrives before `expiryGraceUntil`. */
-  private readonly withheldDeletions = new Map<string, CatalogRecord>();
+  private readonly uncertainDeletions: UncertainDeletions;
 
-  constructor(private readonly parts: CatalogReaderParts) {}
+  constructor(private readonly parts: CatalogReaderParts) {
+    this.uncertainDeletions = new UncertainDeletions(parts);
+  }
 
   /** Reading state, as sent to other hosts. */
   state(): SourceState {
@@ -104,8 +109,10 @@
         continue;
       }
       const onApplied = this.parts.onRequest?.();
+      const requestedAt = clock.now();
       const result = await this.readOnce();
       if (this.isClosed) return;
+      if (result.ok || isAnswer(result.val)) this.parts.answers.record(requestedAt, clock.now());
       if (result.ok) await this.applyOrReport(result.val, onApplied);
       else await this.handleFailure(result.val);
     }
@@ -129,20 +136,20 @@
   private stopReading(): void {
     this.setState('idle');
     this.hasRead = false;
-    this.mustReadAllAgain = false;
-    this.withheldDeletions.clear();
+    this.uncertainDeletions.clear();
+    this.parts.answers.clear();
   }
 
   private readOnce(): Promise<Result<CatalogChanges, SourceError>> {
     const { clock, source, ledger } = this.parts;
     const now = clock.now();
-    const isGraceOver = now >= this.expiryGraceUntil;
-    if (!this.hasRead || (this.mustReadAllAgain && isGraceOver))
+    if (!this.hasRead || this.uncertainDeletions.isRereadDue())
       return source.readAll(now + READ_TIMEOUT_MS);
-    const isWithholding = this.withheldDeletions.size > 0 || this.mustReadAllAgain;
-    const watchUntil = isWithholding
-      ? Math.min(now + WATCH_DURATION_MS, this.expiryGraceUntil)
-      : now + WATCH_DURATION_MS;
+    const nextDeadline = this.uncertainDeletions.nextDeadline();
+    const watchUntil =
+      nextDeadline === Infinity
+        ? now + WATCH_DURATION_MS
+        : Math.min(now + WITHHOLDING_WATCH_MS, nextDeadline);
     const after = Math.max(this.readRevision, ledger.catalog().asOf);
     return source.watch(after, Math.max(watchUntil, now + 1), watchUntil + WATCH_GRACE_MS);
   }
@@ -166,19 +173,17 @@
     onApplied: ((applied: CatalogChanges) => void) | undefined,
   ): Promise<void> {
     const { clock, ledger } = this.parts;
+    const previousAnswerAt = this.answeredAt;
     this.answeredAt = clock.now();
     this.hasRead = true;
     if (this.currentState !== 'reading') {
       this.parts.events.emit(SOURCE_EVENTS.regained, { asOf: changes.asOf });
     }
-    if (this.consecutiveFailures > 0) this.expiryGraceUntil = clock.now() + EXPIRY_GRACE_MS;
     this.consecutiveFailures = 0;
-    this.beginGraceOfNewEra(changes);
     this.setState('reading');
     const completeBefore = ledger.catalog().asOf;
-    const newerRecords = ledger.apply(
-      this.withholdUncertainDeletions(this.keepOlderDeletions(changes)),
-    );
+    this.readRevision = changes.asOf;
+    const newerRecords = ledger.apply(this.uncertainDeletions.filter(changes, previousAnswerAt));
     onApplied?.(changes);
     // Includes records that were sent while deletions before them were withheld: a host that missed
     // one of those is not complete up to the new revision without it.
@@ -186,108 +191,6 @@
     if (changes.records.length > 0) await waitUntil(clock, clock.now() + BATCH_DELAY_MS);
   }
 
-  // Another host may have read the restored source first, and this one may not have noticed the restore.
-  private beginGraceOfNewEra({ after, asOf }: CatalogChanges): void {
-    const era = eraOf(asOf);
-    if (after !== null || era <= this.graceEra) return;
-    this.graceEra = era;
-    const { clock, ledger } = this.parts;
-    if (ledger.presentKeys().some(({ revision }) => eraOf(revision) < era))
-      this.expiryGraceUntil = clock.now() + EXPIRY_GRACE_MS;
-  }
-
-  /**
-   * Keeps deletions of an older era in a whole read: the copy from which the source was restored may be older
-   * than they are. A later write has a higher revision and is used.
-   */
-  private keepOlderDeletions(changes: CatalogChanges): CatalogChanges {
-    if (changes.after !== null) return changes;
-    const records = changes.records.map((record): CatalogRecord => {
-      const deletedAt = this.parts.ledger.deletionOf(record.key);
-      const isOlder = deletedAt !== null && eraOf(deletedAt) < eraOf(record.revision);
-      return isOlder ? { key: record.key, revision: record.revision, fact: null } : record;
-    });
-    return { ...changes, records };
-  }
-
-  /**
-   * Returns the changes without the deletions of targets that may only have expired; these are
-   * withheld until the grace period ends.
-   */
-  private withholdUncertainDeletions(changes: CatalogChanges): CatalogChanges {
-    this.readRevision = changes.asOf;
-    if (this.parts.clock.now() >= this.expiryGraceUntil) return this.releaseDeletions(changes);
-    return changes.after === null
-      ? this.withholdMissing(changes)
-      : this.withholdDeletions(changes.records, changes.asOf);
-  }
-
-  private releaseDeletions(changes: CatalogChanges): CatalogChanges {
-    const released = [...this.withheldDeletions.values()];
-    this.withheldDeletions.clear();
-    if (released.length > 0)
-      this.parts.events.emit(SOURCE_EVENTS.released, { keys: released.map(({ key }) => key) });
-    if (changes.after === null) {
-      this.mustReadAllAgain = false;
-      return changes;
-    }
-    const { asOf: after } = this.parts.ledger.catalog();
-    if (this.mustReadAllAgain) return { after, asOf: after, records: changes.records };
-    const records = [
-      ...released.filter(({ key }) => !changes.records.some((record) => record.key === key)),
-      ...changes.records,
-    ];
-    return { after, asOf: Math.max(changes.asOf, after), records };
-  }
-
-  // A missing target was deleted at an unknown revision after the last complete one, so that the
-  // catalog is not complete beyond that until it is read again without withholding anything.
-  private withholdMissing(changes: CatalogChanges): CatalogChanges {
-    const { ledger } = this.parts;
-    const present = new Set(changes.records.map((record) => record.key));
-    const missing = ledger
-      .presentKeys()
-      .filter(({ key, revision }) => !present.has(key) && revision <= changes.asOf)
-      .map(({ key }): CatalogRecord => ({ key, revision: changes.asOf, fact: null }));
-    this.mustReadAllAgain = missing.some((record) => this.isUnannouncedDeletion(record));
-    return this.mustReadAllAgain
-      ? this.withholdDeletions([...changes.records, ...missing], ledger.catalog().asOf)
-      : changes;
-  }
-
-  /** Withholds deletions among records that are complete up to revision `completeUntil`. */
-  private withholdDeletions(
-    incoming: readonly CatalogRecord[],
-    completeUntil: number,
-  ): CatalogChanges {
-    const records: CatalogRecord[] = [];
-    for (const record of incoming) {
-      this.withheldDeletions.delete(record.key);
-      if (this.isUnannouncedDeletion(record)) this.withheldDeletions.set(record.key, record);
-      else records.push(record);
-    }
-    if (this.withheldDeletions.size > 0)
-      this.parts.events.emit(SOURCE_EVENTS.withheld, {
-        keys: [...this.withheldDeletions.keys()],
-        leftMs: Math.round(this.expiryGraceUntil - this.parts.clock.now()),
-      });
-    const { asOf: after } = this.parts.ledger.catalog();
-    if (this.mustReadAllAgain) return { after, asOf: after, records };
-    const withheldRevisions = [...this.withheldDeletions.values()].map(({ revision }) => revision);
-    const asOf = Math.min(completeUntil, ...withheldRevisions.map((revision) => revision - 1));
-    return { after, asOf: Math.max(asOf, after), records };
-  }
-
-  private isUnannouncedDeletion(record: CatalogRecord): boolean {
-    if (record.fact !== null) return false;
-    const { ledger } = this.parts;
-    const fact = ledger.factOf(record.key);
-    // Operators write again what was lost, as targets do.
-    if (fact?.kind === 'zoneOut')
-      return eraOf(ledger.revisionOf(record.key) ?? 0) < eraOf(record.revision);
-    return fact?.kind === 'target' && fact.target.state === 'ready';
-  }
-
   private async handleFailure(error: SourceError): Promise<void> {
     const { clock, random, source } = this.parts;
     if (error.kind === 'forgotten') {
@@ -298,12 +201,18 @@
       await this.readRestored(error.message);
       return;
     }
+    source.close();
+    this.parts.answers.recordFailure();
+    this.consecutiveFailures += 1;
+    // A connection that closes says nothing about the source, which may close those that wait.
+    if (error.kind === 'unreachable' && this.consecutiveFailures === 1) {
+      this.parts.events.emit(SOURCE_EVENTS.disconnected, { reason: error.message });
+      await waitUntil(clock, clock.now() + RECONNECT_SPREAD_MS * random.next());
+      return;
+    }
     if (this.currentState !== 'failing') {
       this.parts.events.emit(SOURCE_EVENTS.lost, { kind: error.kind, reason: error.message });
     }
-    source.close();
-    this.consecutiveFailures += 1;
-    this.expiryGraceUntil = Math.max(this.expiryGraceUntil, clock.now() + EXPIRY_GRACE_MS);
     this.setState('failing');
     const backoffMs = Math.min(
       MAX_RETRY_DELAY_MS,
@@ -318,8 +227,7 @@
     const { clock, random, events } = this.parts;
     events.emit(SOURCE_EVENTS.restored, { reason });
     this.hasRead = false;
-    this.mustReadAllAgain = false;
-    this.withheldDeletions.clear();
+    this.uncertainDeletions.clear();
     // The readers of all zones notice a restore at the same moment.
     await waitUntil(clock, clock.now() + BASE_RETRY_DELAY_MS * random.next());
   }
--- a/src/source/events.ts
+++ b/src/source/events.ts
@@ -30,5 +30,10 @@
     level: 'info',
     message: 'deletions of targets are withheld, since their entries may only have expired',
   },
+  disconnected: {
+    number: 2010,
+    level: 'info',
+    message: 'a connection to the catalog source closed; reading on over a new one',
+  },
   released: { number: 2009, level: 'info', message: 'withheld deletions are applied' },
 });
--- a/src/source/index.ts
+++ b/src/source/index.ts
@@ -2,6 +2,8 @@
 export { type Confirmation } from './confirmation';
 export { type SourceError } from './sourceError';
 export { type SourceState } from './sourceState';
+export { AnswerHistory } from './answerHistory';
+export { shortestExpiringOutage } from './expiry';
 export { CatalogReader, type CatalogReaderParts } from './catalogReader';
 export { type SourceReport } from './sourceReport';
 export { isZoneReader } from './isZoneReader';
--- a/test/exchange/configurationSpread.test.ts
+++ b/test/exchange/configurationSpread.test.ts
@@ -17,6 +17,11 @@
   return Infinity;
 }
 
+function zonesWithReader(fleet: SimulatedFleet): number {
+  const { hosts } = fleet.network;
+  return new Set(fleet.readers().map((id) => hosts.get(id)!.address.zone)).size;
+}
+
 const SIZES = [
   { size: 17, zones: 3, seeds: [1, 2, 3] },
   { size: 113, zones: 3, seeds: [1, 2, 3] },
@@ -36,17 +41,19 @@
     async (size, zones, seed) => {
       const fleet = new SimulatedFleet(size, zones, seed);
       await fleet.network.advance(4000);
-      const failing = new Set(fleet.readers().slice(0, 1 + (seed % zones)));
-      fleet.source.modeOf = (host) => (failing.has(host) ? 'refuses' : 'answers');
+      fleet.source.modeOf = () => 'refuses';
       fleet.changeTarget(0);
-      await fleet.network.advance(600);
+      // Entries expire in an outage of this length, so that deletions after it are withheld.
+      await fleet.network.advance(3000);
       fleet.network.lossRatio = 0.05 * (1 + (seed % 6));
       fleet.network.pullLossRatio = fleet.network.lossRatio;
       fleet.network.transferMs = 10;
       fleet.network.mostPullsServed = 4;
       fleet.source.modeOf = () => 'answers';
+      while (zonesWithReader(fleet) < zones) await fleet.network.advance(50);
       fleet.removeLastTargets();
       await fleet.network.advance(300);
+      expect(fleet.holdersOf(59)).toHaveLength(size);
       fleet.publishConfiguration(2);
       expect(await spreadTime(fleet, 2)).toBeLessThanOrEqual(MAX_SPREAD_MS);
     },
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -22,13 +22,14 @@
   SuspensionClock,
   waitUntil,
 } from '../../src/runtime';
-import { CatalogReader, mustRead } from '../../src/source';
+import { AnswerHistory, CatalogReader, mustRead } from '../../src/source';
 import { CrashTable } from '../../src/suspects';
 
 import { SimulatedSource } from './simulatedSource';
 
 // A pull that takes longer than this fails.
 const PULL_TIMEOUT_MS = 600;
+const SHORTEST_OUTAGE_MS = 2250;
 // One-way latency between hosts, as on production networks.
 const SAME_ZONE_LATENCY_MS = 0.2;
 const CROSS_ZONE_LATENCY_MS = 0.5;
@@ -242,6 +243,8 @@
       ...{ clock, ledger, random: new SeededRandom(this.nextIncarnation) },
       source: this.source.connect(id),
       events: { emit: () => {} },
+      answers: new AnswerHistory(SHORTEST_OUTAGE_MS),
+      removalApplyMs: 2000,
       mustRead: () =>
         mustRead({
           ...{ hostId: id, isStopping: false, isFirstStart },
--- a/test/exchange/simulatedSource.ts
+++ b/test/exchange/simulatedSource.ts
@@ -42,6 +42,8 @@
   /** Whole reads so far, by host. */
   readonly wholeReads = new Map<string, number>();
 
+  private cuts = 0;
+
   private readonly waiting = new Set<() => void>();
 
   constructor(private readonly clock: ManualClock) {}
@@ -73,6 +75,12 @@
     this.wakeWatches();
   }
 
+  /** Closes the connections of the watches that wait. */
+  cutWatches(): void {
+    this.cuts += 1;
+    this.wakeWatches();
+  }
+
   /** Forgets the deletions so far: watches that ask for them get 'forgotten'. */
   forgetHistory(): void {
     this.oldestWatchable = this.revision;
@@ -92,7 +100,10 @@
         }));
       },
       watch: async (after, watchUntil, deadline) => {
+        const cutsBefore = this.cuts;
         await this.changeAfter(after, watchUntil, connection.signal);
+        if (this.cuts !== cutsBefore)
+          return Err({ kind: 'unreachable', message: 'other side closed' });
         if (eraOf(after) < eraOf(this.revision))
           return Err({ kind: 'restored', message: 'a newer era' });
         if (after < this.oldestWatchable)
--- a/test/source/storeReading.test.ts
+++ b/test/source/storeReading.test.ts
@@ -2,7 +2,7 @@
 import { StoreEra } from '../../platform/storeEra';
 import { type CatalogChanges, Ledger } from '../../src/catalog';
 import { SeededRandom, SystemClock } from '../../src/runtime';
-import { CatalogReader, isZoneReader } from '../../src/source';
+import { AnswerHistory, CatalogReader, isZoneReader } from '../../src/source';
 import { StoreStandin } from '../../standins/store/storeStandin';
 
 function targetEntry(service: string): unknown {
@@ -40,6 +40,8 @@
         source: new Store(address, clock, new StoreEra({ emit: () => {} })),
       },
       events: { emit: () => {} },
+      answers: new AnswerHistory(2250),
+      removalApplyMs: 2000,
       mustRead: () => mustRead,
       onChanges: (changes) => broadcasts.push(changes),
       onStateChange: () => {},
