Let some host always have a young answer of the source, whether or not there are tenants

Cause: only the readers look at the source, and each notices a silent connection by itself when its watch ends, 2.85 s after it began; only then another host reads. Evidence: on the three readers log 2001 "no complete reply in time" 3.2 s after their last answer and 2.6 s after the version was confirmed, and three others read it within 0.1 s of that. In zones of more than 9 hosts a reader that dies is missed after 6 s, with the same effect.

Change: the proofs of src/freshness, which so far were kept for tenants only, are kept for every configuration, with ages that follow from the time by which a change has to be in use (proofSchedule): the reader of one zone confirms at 0.4 of it, those of others at 0.55 and 0.65, and the hosts that would read next from 0.6 on, one after the other, also when the reader answers them with an old proof; from 0.85 on any host does in its turn. Hosts ask for a proof by its age, no longer at a fixed interval. A confirmation asks for changes of all keys: a configuration is applied at once, and of any other change the host reads itself, or opens its watch anew if that has missed it. The answers that other hosts had count in AnswerHistory, so that a host that is refused alone takes this for no outage.

Why it works: silence is noticed by the hosts that miss the news and not by the one that waits, at an age that the settings bound, and the next one follows 0.1 of the bound later without waiting for the one before it.

Changed tests of withdrawnKeys: a host asked nobody without tenants, which is what was wrong; it asks nobody without a configuration, and a new test has the age of its proof without tenants. The host that would read next confirmed between 0.7 and 1.1 s; it does between 1.1 and 1.3 s, which the bound of 2 s gives, and a new test has it do so as well when the reader answers with an old proof.

--- a/src/balancer/balancer.ts
+++ b/src/balancer/balancer.ts
@@ -63,14 +63,17 @@
       ...{ ledger, link: this.link, tasks, isStopping },
       confirmationSource: this.confirmationSource,
       sourceState: () => this.reader.state(),
+      onOtherChange: (revision) => {
+        if (!isStopping()) this.reader.catchUp(revision);
+      },
       onQuotaMessage: (message, fromIp) => this.quotas.receive(message, fromIp),
     });
     this.quotas = makeQuotas(parts, { exchange: this.knowledge.exchange, isStopping });
     this.addresses = new Addresses({
       ...{ clock, events, tasks, onOpened: () => this.applyOpenedAddress() },
     });
-    const { exchange, freshness } = this.knowledge;
-    this.reader = makeReader(parts, { ledger, exchange, freshness, isStopping });
+    const { exchange, freshness, answers } = this.knowledge;
+    this.reader = makeReader(parts, { ledger, exchange, freshness, answers, isStopping });
     this.callPath = new CallPath(parts, {
       catalog: () => ledger.catalog(),
       tasks,
--- a/src/balancer/fleetKnowledge.ts
+++ b/src/balancer/fleetKnowledge.ts
@@ -12,11 +12,17 @@
 } from '../knowledge';
 import { type Supervisor } from '../lifecycle';
 import { SuspensionClock } from '../runtime';
-import { type CatalogSource, type SourceState } from '../source';
+import {
+  AnswerHistory,
+  type CatalogSource,
+  shortestExpiringOutage,
+  type SourceState,
+} from '../source';
 import { CrashTable } from '../suspects';
 
 import { type BalancerParts } from './balancerParts';
 import { TargetConditionLog } from './beliefLog';
+import { changeApplyMs } from './changeApplyMs';
 import { confirmTargets } from './confirmTargets';
 import { ipOf } from './ipOf';
 import { pullCatalog } from './pullCatalog';
@@ -30,6 +36,8 @@
   /** Connection to the source that is used for confirmations only. */
   readonly confirmationSource: CatalogSource;
   readonly isStopping: () => boolean;
+  /** Called when the source has a change of this revision that this host has not read. */
+  readonly onOtherChange: (revision: number) => void;
   readonly onQuotaMessage: (message: QuotaMessage, fromIp: string) => void;
 }
 
@@ -41,6 +49,9 @@
 
   readonly exchange: Exchange;
 
+  /** Answers of the source to any host. */
+  readonly answers: AnswerHistory;
+
   readonly freshness: Freshness;
 
   readonly subsets: TargetSubsets;
@@ -68,6 +79,7 @@
     this.targetConditions = new TargetConditionLog(clock, this.targetStates, events);
     this.crashTable = new CrashTable(clock);
     this.exchange = this.makeExchange();
+    this.answers = new AnswerHistory(shortestExpiringOutage(settings['target-renewal-ms']));
     this.freshness = this.makeFreshness();
     this.subsets = new TargetSubsets({
       hostId: settings['host-id'],
@@ -145,15 +157,17 @@
 
   private makeFreshness(): Freshness {
     const { clock, systemTimes, random, events, metrics, settings } = this.parts;
-    const { ledger, tasks, sourceState, confirmationSource } = this.sources;
-    const { exchange } = this;
+    const { ledger, tasks, sourceState, confirmationSource, onOtherChange } = this.sources;
+    const { exchange, answers } = this;
     return new Freshness({
-      ...{ clock, random, tasks, events, metrics, ledger, membership: exchange.membership },
+      ...{ clock, random, tasks, events, metrics, ledger, answers, onOtherChange },
+      membership: exchange.membership,
       suspensionClock: new SuspensionClock(clock, systemTimes),
       self: this.ownAddress(),
       source: confirmationSource,
       isStrict: settings['strict-revocation'],
       revocationMs: settings['revocation-ms'],
+      applyMs: changeApplyMs(settings),
       isReading: () => sourceState() === 'reading',
       sendRequest: (hosts, token) => exchange.requestProof(hosts, token),
       broadcastChanges: (changes) => exchange.broadcastChanges(changes),
--- a/src/balancer/makeReader.ts
+++ b/src/balancer/makeReader.ts
@@ -1,13 +1,7 @@
 import { type Ledger } from '../catalog';
 import { type Exchange } from '../exchange';
 import { type Freshness } from '../freshness';
-import {
-  AnswerHistory,
-  CatalogReader,
-  mustRead,
-  shortestExpiringOutage,
-  SOURCE_EVENTS,
-} from '../source';
+import { type AnswerHistory, CatalogReader, mustRead, SOURCE_EVENTS } from '../source';
 
 import { type BalancerParts } from './balancerParts';
 import { BALANCER_METRICS } from './metrics';
@@ -21,20 +15,20 @@
   readonly ledger: Ledger;
   readonly exchange: Exchange;
   readonly freshness: Freshness;
+  readonly answers: AnswerHistory;
   readonly isStopping: () => boolean;
 }
 
 /** The reader of the source of the catalog; it reads while no other host of the zone does. */
 export function makeReader(
   { clock, random, events, settings, adapter, metrics }: BalancerParts,
-  { ledger, exchange, freshness, isStopping }: ReaderSinks,
+  { ledger, exchange, freshness, answers, isStopping }: ReaderSinks,
 ): CatalogReader {
   const hostId = settings['host-id'];
   const startedAt = clock.now();
   return new CatalogReader({
-    ...{ clock, random, events, ledger },
+    ...{ clock, random, events, ledger, answers },
     source: adapter.openSource(settings.source, clock, events),
-    answers: new AnswerHistory(shortestExpiringOutage(settings['target-renewal-ms'])),
     removalApplyMs: settings['removal-apply-ms'],
     mustRead: () =>
       mustRead({
--- a/src/freshness/freshness.ts
+++ b/src/freshness/freshness.ts
@@ -11,14 +11,16 @@
   runEvery,
   type SuspensionClock,
 } from '../runtime';
-import { type CatalogSource } from '../source';
+import { type AnswerHistory, type CatalogSource } from '../source';
 
 import { ExpiryLog } from './expiryLog';
 import { type KeyValidity } from './keyValidity';
 import { FRESHNESS_EVENTS } from './events';
 import { FRESHNESS_METRICS } from './metrics';
 import { OtherZoneRounds } from './otherZoneRounds';
+import { type Proof } from './proof';
 import { ProofRounds } from './proofRounds';
+import { type ProofSchedule, proofSchedule } from './proofSchedule';
 import { ProofSources } from './proofSources';
 import { type ProofState } from './proofState';
 import { ProofTable } from './proofTable';
@@ -28,16 +30,6 @@
 const TICK_MS = 50;
 // Keys are used this much shorter than allowed, for what the clocks and timers of a host are off.
 const SAFETY_MARGIN_MS = 200;
-// Age of the proof at which the reader of a zone confirms, by the position of the zone. The first zone
-// confirms for all: together with the intervals of the requests, the proofs of the others stay younger
-// than 2 s; at least every 1.0 s is required. The next one confirms when the first one has no newer
-// proof, and the others when they get none from these two.
-const CONFIRM_AGES_MS = [800, 1100, 1300] as const;
-// A reader whose proof is older asks its neighbours too, and a host that would read next asks the reader
-// when a host that lacks an answer of the reader asks it.
-const FALLBACK_AGE_MS = 1200;
-// An older proof shows that neither the reader nor other hosts have a newer one.
-const STORE_TURN_AGE_MS = 2200;
 // A host that has started gets its first proof from another host within this time.
 const FIRST_PROOF_WAIT_MS = 300;
 const MIN_EXTRA_CONFIRM_INTERVAL_MS = 200;
@@ -63,10 +55,16 @@
   /** Whether keys may not be used later than `revocationMs` after their withdrawal. */
   readonly isStrict: boolean;
   readonly revocationMs: number;
+  /** Time by which a change of the source is to be in use, in milliseconds. */
+  readonly applyMs: number;
+  /** Answers of the source to any host, to which those that prove something are added. */
+  readonly answers: AnswerHistory;
   /** Whether this host reads the store for its zone. */
   readonly isReading: () => boolean;
   readonly sendRequest: (hosts: readonly HostAddress[], token: number) => void;
   readonly broadcastChanges: (changes: CatalogChanges) => void;
+  /** Called when the source has a change of this revision that is not in a configuration. */
+  readonly onOtherChange: (revision: number) => void;
 }
 
 /** Keeps the proof that the configuration of this host is the newest one, and asks for it. */
@@ -85,7 +83,9 @@
 
   private readonly expiryLog: ExpiryLog;
 
-  /** Since when keys have been needed; null while the configuration has no tenants. */
+  private readonly schedule: ProofSchedule;
+
+  /** Since when a proof has been needed; null without a configuration. */
   private neededSince: Moment | null = null;
 
   private isConfirming = false;
@@ -98,6 +98,7 @@
     const { clock, suspensionClock, random, ledger, source, metrics, events } = parts;
     this.proofs = new ProofTable(suspensionClock, () => ledger.configurationRevision());
     this.sources = new ProofSources(parts);
+    this.schedule = proofSchedule(parts.applyMs);
     const roundsParts = {
       ...{ clock, suspensionClock, random, sources: this.sources },
       send: (hosts: readonly HostAddress[], token: number) => {
@@ -105,11 +106,13 @@
         parts.sendRequest(hosts, token);
       },
     };
-    this.rounds = new ProofRounds(roundsParts);
-    this.otherZoneRounds = new OtherZoneRounds(roundsParts);
+    const { askAgeMs, otherZoneAgeMs } = this.schedule;
+    this.rounds = new ProofRounds({ ...roundsParts, askAgeMs });
+    this.otherZoneRounds = new OtherZoneRounds({ ...roundsParts, askAgeMs: otherZoneAgeMs });
     this.confirmer = new StoreConfirmer({
       ...{ clock, suspensionClock, random, ledger, source },
-      onProof: (proof) => this.proofs.add(proof),
+      onProof: (proof) => this.addProof(proof),
+      onOtherChange: (revision) => parts.onOtherChange(revision),
       onChanges: (changes) => parts.broadcastChanges(changes),
       onEnd: (outcome) => metrics.increment(FRESHNESS_METRICS.confirmations, 1, { outcome }),
     });
@@ -120,7 +123,7 @@
   /** Starts to keep the proof. */
   start(): void {
     this.cancelTimer = runEvery(this.parts.clock, TICK_MS, () => this.refresh());
-    // A host that gets its first tenants may have no proof. The one that reads has one after the
+    // A host that gets its first configuration has no proof. The one that reads has one after the
     // change, from the answer that it applies.
     this.parts.ledger.onChange(() => {
       if (!this.parts.isReading()) this.refresh();
@@ -152,9 +155,9 @@
     return expiredMs < SHORT_EXPIRY_MS ? SHORT_RETRY_AFTER_MS : LONG_RETRY_AFTER_MS;
   }
 
-  /** What operators see; null while the configuration has no tenants. */
+  /** What operators see; null without a configuration. */
   state(): ProofState | null {
-    if (this.parts.ledger.catalog().tenants === null) return null;
+    if (this.parts.ledger.catalog().configuration === null) return null;
     const ageMs = this.proofs.ageMs();
     return {
       ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : null,
@@ -170,7 +173,7 @@
     const newestBefore = ledger.newestRevision();
     return ({ asOf }) => {
       const revision = ledger.configurationRevision();
-      if (asOf >= newestBefore && revision > 0) this.proofs.add({ revision, moment });
+      if (asOf >= newestBefore && revision > 0) this.addProof({ revision, moment });
     };
   }
 
@@ -180,7 +183,8 @@
     if (proof === null) return null;
     const ageMs = Math.ceil(this.parts.suspensionClock.elapsedSince(proof.moment));
     // The hosts that ask this one have no answer of the reader then.
-    if (ageMs > FALLBACK_AGE_MS && this.neededSince !== null && this.sources.isNextReader())
+    const isOld = ageMs > this.schedule.fallbackAgeMs;
+    if (isOld && this.neededSince !== null && this.sources.readerRank() <= 1)
       this.rounds.askAllNow();
     if (ageMs > MAX_PASSED_ON_AGE_MS) return null;
     return { kind: 'proofResponse', token, revision: proof.revision, ageMs };
@@ -191,8 +195,17 @@
     const requestedAt =
       this.rounds.momentOf(token, fromIp) ?? this.otherZoneRounds.momentOf(token, fromIp);
     if (requestedAt === null) return;
-    this.proofs.add({ revision, moment: before(requestedAt, ageMs) });
-    this.rounds.noteResponse(fromIp, this.proofs.ageMs());
+    this.addProof({ revision, moment: before(requestedAt, ageMs) });
+    this.rounds.noteResponse(fromIp);
+  }
+
+  // The source answered between the moment of a proof and now, so that it was available at that moment at the
+  // earliest.
+  private addProof(proof: Proof): void {
+    const { clock, suspensionClock, answers } = this.parts;
+    this.proofs.add(proof);
+    const provenAt = clock.now() - suspensionClock.elapsedSince(proof.moment);
+    if (Number.isFinite(provenAt)) answers.record(provenAt, provenAt);
   }
 
   private logClock(): void {
@@ -204,7 +217,7 @@
 
   private refresh(): void {
     const { ledger, suspensionClock, metrics, isReading } = this.parts;
-    if (ledger.catalog().tenants === null) {
+    if (ledger.catalog().configuration === null) {
       this.neededSince = null;
       return;
     }
@@ -215,18 +228,17 @@
     this.expiryLog.update(this.leftMs(this.missingMs(ageMs)) <= 0, ageMs);
     if (this.isActingReader(ageMs)) this.otherZoneRounds.refresh(ageMs);
     if (this.isConfirmationDue(ageMs)) this.confirm();
-    if (!isReading() || ageMs > FALLBACK_AGE_MS) this.rounds.askIfDue();
+    if (!isReading() || ageMs > this.schedule.fallbackAgeMs) this.rounds.askIfDue(ageMs);
   }
 
   private isConfirmationDue(ageMs: number): boolean {
-    const { clock, isReading } = this.parts;
-    const now = clock.now();
+    const now = this.parts.clock.now();
     if (!this.confirmer.mayStart()) return false;
-    if (isReading()) return this.mustConfirm(ageMs);
-    if (this.isActingReader(ageMs) && this.mustConfirm(ageMs))
-      return now >= this.confirmer.lastStartAt() + MIN_EXTRA_CONFIRM_INTERVAL_MS;
+    if (this.parts.isReading() && this.mustConfirm(ageMs)) return true;
+    if (now < this.confirmer.lastStartAt() + MIN_EXTRA_CONFIRM_INTERVAL_MS) return false;
+    if (Number.isFinite(ageMs) && ageMs >= this.standInAgeMs()) return true;
     const missingMs = this.missingMs(ageMs);
-    const waitMs = Number.isFinite(ageMs) ? STORE_TURN_AGE_MS : FIRST_PROOF_WAIT_MS;
+    const waitMs = Number.isFinite(ageMs) ? this.schedule.storeTurnAgeMs : FIRST_PROOF_WAIT_MS;
     if (missingMs < waitMs) return false;
     return this.storeTurns.isDue(now, missingMs, this.sources.zoneSize());
   }
@@ -234,16 +246,21 @@
   /** Whether this host reads for its zone, or has a proof and would read next while the reader is silent. */
   private isActingReader(ageMs: number): boolean {
     if (this.parts.isReading()) return true;
-    return this.rounds.lacksReader() && Number.isFinite(ageMs) && this.sources.isNextReader();
+    return this.rounds.lacksReader() && Number.isFinite(ageMs) && this.sources.readerRank() <= 1;
   }
 
   /** Whether the reader of this zone confirms, and does not get the proof of another zone. */
   private mustConfirm(ageMs: number): boolean {
-    const rank = Math.min(this.sources.confirmationRank(), CONFIRM_AGES_MS.length - 1);
-    if (ageMs < CONFIRM_AGES_MS[rank]!) return false;
+    const rank = this.sources.confirmationRank();
+    if (ageMs < this.schedule.confirmAgeMs(rank)) return false;
     return rank === 0 || this.otherZoneRounds.haveFailed();
   }
 
+  /** Age from which on the hosts that confirm before this one have failed to, or are cut off from the source. */
+  private standInAgeMs(): number {
+    return this.schedule.standInAgeMs(this.sources.readerRank(), this.sources.confirmationRank());
+  }
+
   private confirmSoon(): void {
     const nextStartAt = this.confirmer.lastStartAt() + MIN_EXTRA_CONFIRM_INTERVAL_MS;
     if (this.parts.clock.now() >= nextStartAt && this.confirmer.mayStart()) this.confirm();
--- a/src/freshness/otherZoneRounds.ts
+++ b/src/freshness/otherZoneRounds.ts
@@ -4,9 +4,6 @@
 import { type ProofSources } from './proofSources';
 import { RequestTokens } from './requestTokens';
 
-// The zone that confirms starts a call at an age of 0.8 s and has the answer by then, so that one
-// request mostly finds the new proof.
-const ASK_AGE_MS = 900;
 const RESPONSE_TIMEOUT_MS = 100;
 
 /** Dependencies of `OtherZoneRounds`. */
@@ -15,6 +12,8 @@
   readonly suspensionClock: SuspensionClock;
   readonly random: Random;
   readonly sources: Pick<ProofSources, 'readersOfOtherZones'>;
+  /** Age in milliseconds from which on a proof is renewed. */
+  readonly askAgeMs: number;
   readonly send: (hosts: readonly HostAddress[], token: number) => void;
 }
 
@@ -36,7 +35,7 @@
   /** Asks when the proof of this age is due for renewal, until there is a newer one. */
   refresh(ageMs: number): void {
     const now = this.parts.clock.now();
-    if (ageMs < ASK_AGE_MS) {
+    if (ageMs < this.parts.askAgeMs) {
       this.attempts = 0;
       this.firstAttemptAt = Infinity;
       return;
--- a/src/freshness/proofRounds.ts
+++ b/src/freshness/proofRounds.ts
@@ -4,12 +4,7 @@
 import { type ProofSources } from './proofSources';
 import { RequestTokens } from './requestTokens';
 
-const ROUND_INTERVAL_MS = 700;
-// While the reader does not answer, proofs of other hosts are older than its own would be.
-const SHORT_ROUND_INTERVAL_MS = 500;
 const RESPONSE_TIMEOUT_MS = 150;
-// A round ends with a proof that stays younger than 2 s until the end of the next one.
-const GOOD_AGE_MS = 1200;
 // After some attempts other hosts have no newer proof either, and are asked less often.
 const QUICK_ATTEMPTS = 5;
 const SLOW_ATTEMPT_INTERVAL_MS = 300;
@@ -21,6 +16,8 @@
   readonly suspensionClock: SuspensionClock;
   readonly random: Random;
   readonly sources: Pick<ProofSources, 'reader' | 'others'>;
+  /** Age in milliseconds from which on a proof is renewed. */
+  readonly askAgeMs: number;
   readonly send: (hosts: readonly HostAddress[], token: number) => void;
 }
 
@@ -49,9 +46,10 @@
     this.tokens = new RequestTokens(clock, suspensionClock, random);
   }
 
-  /** Asks when the next round or the next attempt of this one is due. */
-  askIfDue(): void {
-    if (this.parts.clock.now() >= this.nextAttemptAt) this.ask(this.attempts > 0);
+  /** Asks when the proof of this age is due for renewal, until there is a newer one. */
+  askIfDue(ageMs: number): void {
+    if (ageMs < this.parts.askAgeMs) this.attempts = 0;
+    else if (this.parts.clock.now() >= this.nextAttemptAt) this.ask(this.attempts > 0);
   }
 
   /** Asks the reader and others now, unless hosts have just been asked. */
@@ -69,16 +67,11 @@
     return this.tokens.momentOf(token, fromIp);
   }
 
-  /** Notes a response of a host, after which the proof has this age. */
-  noteResponse(fromIp: string, ageMs: number): void {
-    if (fromIp === this.readerIp) {
-      this.hasReaderAnswered = true;
-      this.isReaderSilent = false;
-    }
-    if (ageMs > GOOD_AGE_MS || this.attempts === 0) return;
-    this.attempts = 0;
-    const intervalMs = this.isReaderSilent ? SHORT_ROUND_INTERVAL_MS : ROUND_INTERVAL_MS;
-    this.nextAttemptAt = this.lastAttemptAt + intervalMs;
+  /** Notes a response of a host. */
+  noteResponse(fromIp: string): void {
+    if (fromIp !== this.readerIp) return;
+    this.hasReaderAnswered = true;
+    this.isReaderSilent = false;
   }
 
   private ask(mayAskOthers: boolean): void {
--- a/src/freshness/proofSources.ts
+++ b/src/freshness/proofSources.ts
@@ -35,11 +35,11 @@
     ];
   }
 
-  /** Whether this host would read when the reader of its zone is gone. */
-  isNextReader(): boolean {
+  /** Position of this host in the order in which the hosts of its zone would read, 0 for the first one. */
+  readerRank(): number {
     // Hosts that fail to read count too: when all do, only the first ones may stand in.
     const reports = this.candidates().map(({ id }) => ({ hostId: id, state: 'idle' as const }));
-    return zoneReaderOrder(this.parts.self.id, reports).slice(0, 2).includes(this.parts.self.id);
+    return zoneReaderOrder(this.parts.self.id, reports).indexOf(this.parts.self.id);
   }
 
   /** Number of hosts of this zone, including this one. */
--- a/src/freshness/storeConfirmer.ts
+++ b/src/freshness/storeConfirmer.ts
@@ -21,6 +21,8 @@
   readonly onProof: (proof: Proof) => void;
   /** Called with a configuration that this host did not know. */
   readonly onChanges: (changes: CatalogChanges) => void;
+  /** Called with the revision of a change that this host did not know, and that is not in a configuration. */
+  readonly onOtherChange: (revision: number) => void;
   /** Called with the result of each call. */
   readonly onEnd: (outcome: 'confirmed' | SourceError['kind']) => void;
 }
@@ -63,7 +65,8 @@
     const moment = suspensionClock.now();
     const newestBefore = ledger.newestRevision();
     const revision = ledger.configurationRevision();
-    const read = this.confirmed.revision === revision ? this.confirmed.asOf : revision;
+    const confirmedUntil = this.confirmed.revision === revision ? this.confirmed.asOf : revision;
+    const read = Math.max(confirmedUntil, ledger.catalog().asOf);
     // In a newer era than that of the configuration, all writes of that era are read.
     this.firstEra = Math.max(this.firstEra, eraOf(newestBefore));
     const after = Math.max(read, joinRevision(this.firstEra, 0));
@@ -102,8 +105,8 @@
     return Math.max(known, ...revisions);
   }
 
-  private apply({ asOf, records }: Confirmation, proven: number): void {
-    const { ledger, onChanges } = this.parts;
+  private apply({ asOf, records, newestChange }: Confirmation, proven: number): void {
+    const { ledger, onChanges, onOtherChange } = this.parts;
     this.consecutiveFailures = 0;
     this.timeoutMs = CONFIRM_TIMEOUT_MS;
     // Only the configuration was read, so that the catalog is complete up to no later revision.
@@ -111,6 +114,7 @@
     const changes = { after: complete, asOf: complete, records };
     if (ledger.apply(changes).length > 0) onChanges(changes);
     this.confirmed = { revision: proven, asOf };
+    if (newestChange > Math.max(ledger.newestRevision(), proven)) onOtherChange(newestChange);
   }
 
   private handleFailure({ kind }: SourceError): void {
--- a/src/source/answerHistory.ts
+++ b/src/source/answerHistory.ts
@@ -43,9 +43,4 @@
     }
     return outageEnd;
   }
-
-  /** Forgets all answers, when those of other hosts have not been recorded for some time. */
-  clear(): void {
-    this.spans = [];
-  }
 }
--- a/src/source/catalogReader.ts
+++ b/src/source/catalogReader.ts
@@ -25,6 +25,10 @@
 const RECONNECT_SPREAD_MS = 50;
 const BASE_RETRY_DELAY_MS = 200;
 const MAX_RETRY_DELAY_MS = 2000;
+// A change that the source is known to have is read within this time, even after others before it.
+const CATCH_UP_DELAY_MS = 500;
+// Another host reads on by then.
+const MAX_CATCH_UP_MS = 3000;
 // Interval at which a host that does not read rechecks whether it must.
 const IDLE_RECHECK_MS = 100;
 
@@ -76,6 +80,9 @@
 
   private readonly uncertainDeletions: UncertainDeletions;
 
+  /** The change that this host reads in place of the one that reads for it, and until when it does. */
+  private awaited = { revision: 0, deadline: -Infinity };
+
   constructor(private readonly parts: CatalogReaderParts) {
     this.uncertainDeletions = new UncertainDeletions(parts);
   }
@@ -103,7 +110,7 @@
   private async readUntilClosed(): Promise<void> {
     const { clock } = this.parts;
     while (!this.isClosed) {
-      if (!this.parts.mustRead()) {
+      if (!this.parts.mustRead() && !this.mustCatchUp()) {
         this.stopReading();
         await waitUntil(clock, clock.now() + IDLE_RECHECK_MS);
         continue;
@@ -118,12 +125,37 @@
     }
   }
 
+  /**
+   * Reads a change of the source that is known to have this revision, if that has not happened otherwise: at a host that
+   * reads, over a new connection, and at another one in place of the reader of its zone.
+   */
+  catchUp(revision: number): void {
+    const { clock } = this.parts;
+    const now = clock.now();
+    this.awaited = { revision, deadline: now + MAX_CATCH_UP_MS };
+    if (this.currentState !== 'reading') return;
+    void waitUntil(clock, now + CATCH_UP_DELAY_MS).then(() => {
+      if (this.isClosed || this.currentState !== 'reading' || this.hasReadUntil(revision)) return;
+      this.parts.events.emit(SOURCE_EVENTS.watchMissed, { revision, read: this.readRevision });
+      this.parts.source.close();
+    });
+  }
+
   /** Stops the task and cancels its request. */
   close(): void {
     this.isClosed = true;
     this.parts.source.close();
   }
 
+  private hasReadUntil(revision: number): boolean {
+    return Math.max(this.readRevision, this.parts.ledger.newestRevision()) >= revision;
+  }
+
+  private mustCatchUp(): boolean {
+    const { revision, deadline } = this.awaited;
+    return this.parts.clock.now() < deadline && this.parts.ledger.newestRevision() < revision;
+  }
+
   // Other hosts read while this one does not, and it has to read all again: its last changes may not have
   // been applied.
   private giveUpReading(): void {
@@ -137,7 +169,6 @@
     this.setState('idle');
     this.hasRead = false;
     this.uncertainDeletions.clear();
-    this.parts.answers.clear();
   }
 
   private readOnce(): Promise<Result<CatalogChanges, SourceError>> {
--- a/src/source/catalogSource.ts
+++ b/src/source/catalogSource.ts
@@ -19,7 +19,8 @@
     deadline: number,
   ): Promise<Result<CatalogChanges, SourceError>>;
   /**
-   * Reads without waiting what became of the configuration after revision `after`. The answer is the
+   * Reads without waiting what became of the configuration after revision `after`, and whether anything else has
+   * changed. The answer is the
    * state of the source at some moment of the call. It waits for a running request, so that a host that
    * also watches needs a second connection.
    */
--- a/src/source/confirmation.ts
+++ b/src/source/confirmation.ts
@@ -6,4 +6,6 @@
   readonly asOf: number;
   /** Records of the configuration that are newer than the known one, or the present one; often none. */
   readonly records: readonly CatalogRecord[];
+  /** Highest revision of the changes since the one that was asked for, of any key; 0 if none are known. */
+  readonly newestChange: number;
 }
--- a/src/source/events.ts
+++ b/src/source/events.ts
@@ -35,5 +35,10 @@
     level: 'info',
     message: 'a connection to the catalog source closed; reading on over a new one',
   },
+  watchMissed: {
+    number: 2011,
+    level: 'warn',
+    message: 'a watch has not returned a change that the catalog source has; reading on anew',
+  },
   released: { number: 2009, level: 'info', message: 'withheld deletions are applied' },
 });
--- a/test/exchange/simulatedHosts.ts
+++ b/test/exchange/simulatedHosts.ts
@@ -30,6 +30,8 @@
 // A pull that takes longer than this fails.
 const PULL_TIMEOUT_MS = 600;
 const SHORTEST_OUTAGE_MS = 2250;
+// Time by which a change is in use; the shortest one of the users.
+const APPLY_MS = 2000;
 // One-way latency between hosts, as on production networks.
 const SAME_ZONE_LATENCY_MS = 0.2;
 const CROSS_ZONE_LATENCY_MS = 0.5;
@@ -157,7 +159,8 @@
         leaving: leaving.filter((target) => targetStates.recordLeaving(target)),
       }),
     });
-    const freshness = this.makeFreshness(address, ledger, exchange);
+    const answers = new AnswerHistory(SHORTEST_OUTAGE_MS);
+    const freshness = this.makeFreshness(address, ledger, exchange, answers);
     const host: SimulatedHost = {
       address,
       freshness,
@@ -168,7 +171,7 @@
       ledger,
       exchange,
       reports,
-      reader: this.makeReader(id, ledger, exchange, freshness, isFirstStart),
+      reader: this.makeReader(id, { ledger, exchange, freshness, answers }, isFirstStart),
       sentBytes: 0,
       sentDatagrams: 0,
       isDown: false,
@@ -210,11 +213,18 @@
     return new Exchange({ ...parts, ...this.makeDecisions(parts.self, parts.ledger, exchange) });
   }
 
-  private makeFreshness(self: HostAddress, ledger: Ledger, exchange: Exchange): Freshness {
+  private makeFreshness(
+    self: HostAddress,
+    ledger: Ledger,
+    exchange: Exchange,
+    answers: AnswerHistory,
+  ): Freshness {
     const { clock, source } = this;
     const time = () => clock.now();
     return new Freshness({
-      ...{ clock, self, ledger, membership: exchange.membership },
+      ...{ clock, self, ledger, answers, membership: exchange.membership },
+      applyMs: APPLY_MS,
+      onOtherChange: (revision) => this.hosts.get(self.id)?.reader?.catchUp(revision),
       suspensionClock: new SuspensionClock(clock, { timeOfDay: time, sinceBoot: time }),
       random: new SeededRandom(this.nextIncarnation + 1_000_000),
       tasks: new Supervisor(clock, () => {}),
@@ -231,9 +241,12 @@
 
   private makeReader(
     id: string,
-    ledger: Ledger,
-    exchange: Exchange,
-    freshness: Freshness,
+    {
+      ledger,
+      exchange,
+      freshness,
+      answers,
+    }: Pick<SimulatedHost, 'ledger' | 'exchange' | 'freshness'> & { answers: AnswerHistory },
     isFirstStart: boolean,
   ): CatalogReader | null {
     if (this.source === null) return null;
@@ -243,8 +256,8 @@
       ...{ clock, ledger, random: new SeededRandom(this.nextIncarnation) },
       source: this.source.connect(id),
       events: { emit: () => {} },
-      answers: new AnswerHistory(SHORTEST_OUTAGE_MS),
-      removalApplyMs: 2000,
+      answers,
+      removalApplyMs: APPLY_MS,
       mustRead: () =>
         mustRead({
           ...{ hostId: id, isStopping: false, isFirstStart },
--- a/test/exchange/simulatedSource.ts
+++ b/test/exchange/simulatedSource.ts
@@ -12,9 +12,11 @@
 import { type CatalogSource, type SourceError } from '../../src/source';
 
 const ANSWER_MS = 4;
+// Shorter than the time limit of a request.
+const SLOW_ANSWER_MS = 600;
 
 /** How the source treats the requests of a host. */
-export type SourceMode = 'answers' | 'refuses' | 'silent';
+export type SourceMode = 'answers' | 'refuses' | 'silent' | 'slow';
 
 /** A published catalog in simulated time, with failures by host. */
 export class SimulatedSource {
@@ -122,9 +124,13 @@
         const answer = await this.answer(host, deadline, connection.signal, () => ({
           after,
           asOf: this.revision,
-          records: this.changedAfter(after).filter(({ key }) => key === 'configuration'),
+          records: this.changedAfter(after),
+        }));
+        return answer.map(({ asOf, records }) => ({
+          asOf,
+          records: records.filter(({ key }) => key === 'configuration'),
+          newestChange: Math.max(0, ...records.map(({ revision }) => revision)),
         }));
-        return answer;
       },
       close: () => {
         connection.abort();
@@ -161,8 +167,9 @@
       await waitUntil(this.clock, deadline, signal);
       return Err({ kind: 'timeout', message: 'no answer' });
     }
-    await waitUntil(this.clock, this.clock.now() + ANSWER_MS, signal);
-    if (this.modeOf(host) !== 'answers') return Err({ kind: 'refused', message: 'status 503' });
+    const answerMs = this.modeOf(host) === 'slow' ? SLOW_ANSWER_MS : ANSWER_MS;
+    await waitUntil(this.clock, this.clock.now() + answerMs, signal);
+    if (this.modeOf(host) === 'refuses') return Err({ kind: 'refused', message: 'status 503' });
     return Ok(changes());
   }
 }
--- a/test/freshness/hostUnderTest.ts
+++ b/test/freshness/hostUnderTest.ts
@@ -7,7 +7,7 @@
 import { type EventDefinition } from '../../src/logging';
 import { SilentSink } from '../../src/metrics';
 import { ManualClock, SeededRandom, SuspensionClock } from '../../src/runtime';
-import { type Confirmation, type SourceError } from '../../src/source';
+import { AnswerHistory, type Confirmation, type SourceError } from '../../src/source';
 
 type Answer = Result<Confirmation, SourceError>;
 
@@ -57,6 +57,9 @@
       membership: { neighbours: () => [NEIGHBOUR], live: () => [NEIGHBOUR] },
       isReading: () => this.isReading,
       broadcastChanges: () => {},
+      onOtherChange: () => {},
+      answers: new AnswerHistory(2250),
+      applyMs: 2000,
     });
     this.freshness.start();
   }
@@ -78,7 +81,7 @@
   /** The store answers a call, the last one by default. */
   async answerStore(asOf: number | null, call = this.storeCalls.length - 1): Promise<void> {
     const failed = Err({ kind: 'unreachable' as const, message: 'cut off' });
-    this.storeCalls[call]!(asOf === null ? failed : Ok({ asOf, records: [] }));
+    this.storeCalls[call]!(asOf === null ? failed : Ok({ asOf, records: [], newestChange: 0 }));
     await new Promise(setImmediate);
   }
 
--- a/test/freshness/restoredStore.test.ts
+++ b/test/freshness/restoredStore.test.ts
@@ -28,11 +28,12 @@
         return Promise.resolve(
           isOlder
             ? Err({ kind: 'restored' as const, message: 'a newer era' })
-            : Ok({ asOf: joinRevision(1, 5), records: [] }),
+            : Ok({ asOf: joinRevision(1, 5), records: [], newestChange: 0 }),
         );
       },
     },
     onProof: (proof) => proofs.push(proof),
+    onOtherChange: () => {},
     onChanges: () => {},
     onEnd: (outcome) => outcomes.push(outcome),
   });
--- a/test/freshness/withdrawnKeys.test.ts
+++ b/test/freshness/withdrawnKeys.test.ts
@@ -176,16 +176,26 @@
 
 describe('a host', () => {
   // Guards against cost and events where callers need no keys.
-  it('asks nobody while the configuration has no tenants', () => {
+  it('asks nobody without a configuration', () => {
     const host = new HostUnderTest();
     host.isReading = true;
-    host.publish(5, null);
     host.clock.advanceBy(20_000);
     host.freshness.requestProof();
     expect([host.tokens.length, host.storeCalls.length, host.events.length]).toEqual([0, 0, 0]);
     expect([host.mayUseKeys(), host.freshness.state()]).toEqual([true, null]);
   });
 
+  // Guards against an old configuration in use since nobody knows that it is old, and against calls that are
+  // refused for want of a proof that they do not need.
+  it('knows the age of its proof while the configuration has no tenants', () => {
+    const host = new HostUnderTest();
+    host.publish(5, null);
+    host.respond(5, 300);
+    expect(host.freshness.proofAgeMs()).toBe(300);
+    host.clock.advanceBy(USABLE_MS);
+    expect([host.mayUseKeys(), host.freshness.state()!.mayUseKeys]).toEqual([true, true]);
+  });
+
   // Guards against refused calls where revocation is not strict, and against a proof whose age is not
   // known there.
   it('uses keys without strict revocation, and knows the age of its proof', () => {
@@ -200,9 +210,19 @@
   // that need none.
   it('confirms at the store when it would read next and the reader does not answer', () => {
     const host = provenHost();
-    host.clock.advanceBy(700);
+    host.clock.advanceBy(1100);
     expect(host.storeCalls.length).toBe(0);
-    host.clock.advanceBy(400);
+    host.clock.advanceBy(200);
+    expect(host.storeCalls.length).toBe(1);
+  });
+
+  // Guards against proofs that end with the store's answers to the reader, which still answers other hosts.
+  it('confirms at the store when it would read next and the reader has no newer proof', () => {
+    const host = provenHost();
+    for (let elapsedMs = 0; elapsedMs < 1300; elapsedMs += TICK_MS) {
+      host.clock.advanceBy(TICK_MS);
+      host.respond(5, elapsedMs);
+    }
     expect(host.storeCalls.length).toBe(1);
   });
 
--- a/test/source/confirmation.test.ts
+++ b/test/source/confirmation.test.ts
@@ -25,12 +25,16 @@
 
   const confirm = (after: number) => store.confirm(after, clock.now() + TIMEOUT_MS);
 
-  // Guards against a change of the configuration that a confirmation conceals, and against changes of
-  // other keys that are taken for one.
+  // Guards against a change of the configuration that a confirmation conceals, against changes of other keys
+  // that are taken for one, and against those that nobody reads.
   it('has the changes of the configuration only', async () => {
     const first = standin.put(CONFIGURATION_KEY, {});
     const other = standin.put(`${CONFIGURATION_KEY}-2`, {});
-    expect((await confirm(first)).unwrap()).toEqual({ asOf: other, records: [] });
+    expect((await confirm(first)).unwrap()).toEqual({
+      asOf: other,
+      records: [],
+      newestChange: other,
+    });
     const second = standin.put(CONFIGURATION_KEY, {});
     const { asOf, records } = (await confirm(first)).unwrap();
     expect([asOf, records.map(({ revision }) => revision)]).toEqual([second, [second]]);
@@ -63,7 +67,11 @@
     const revision = standin.put(CONFIGURATION_KEY, {});
     standin.setConfirmationMode('old');
     standin.put(CONFIGURATION_KEY, {});
-    expect((await confirm(revision)).unwrap()).toEqual({ asOf: revision, records: [] });
+    expect((await confirm(revision)).unwrap()).toEqual({
+      asOf: revision,
+      records: [],
+      newestChange: 0,
+    });
     standin.setConfirmationMode('well');
     standin.confirmationDelayMs = TIMEOUT_MS / 2;
     const late = confirm(revision + 1);
@@ -71,6 +79,10 @@
       setTimeout(resolve, TIMEOUT_MS / 4);
     });
     standin.put(CONFIGURATION_KEY, {});
-    expect((await late).unwrap()).toEqual({ asOf: revision + 1, records: [] });
+    expect((await late).unwrap()).toEqual({
+      asOf: revision + 1,
+      records: [],
+      newestChange: 0,
+    });
   });
 });
