Compute the ranks of a host only when it may have to confirm

Cause: since each host ranked all hosts that it knows every 50 ms, to see whether it stands in for a reader, though at rest no proof is old enough: a pass over the fleet on a timer. Change: the age is compared with the youngest one that counts first.

--- a/src/freshness/confirmations.ts
+++ b/src/freshness/confirmations.ts
@@ -53,7 +53,7 @@
     if (isReading() && this.isDueAsReader(ageMs)) return true;
     if (!this.mayStartExtra()) return false;
     const hasProof = Number.isFinite(ageMs);
-    if (hasProof && ageMs >= this.standInAgeMs()) return true;
+    if (hasProof && this.isDueAsStandIn(ageMs)) return true;
     if (missingMs < (hasProof ? schedule.storeTurnAgeMs : FIRST_PROOF_WAIT_MS)) return false;
     return this.storeTurns.isDue(clock.now(), missingMs, sources.zoneSize());
   }
@@ -61,15 +61,18 @@
   /** Whether the reader of this zone confirms, and does not get the proof of another zone. */
   private isDueAsReader(ageMs: number): boolean {
     const { schedule, sources, otherZoneRounds } = this.parts;
+    if (ageMs < schedule.confirmAgeMs(0)) return false;
     const zoneRank = sources.confirmationRank();
     if (ageMs < schedule.confirmAgeMs(zoneRank)) return false;
     return zoneRank === 0 || otherZoneRounds.haveFailed();
   }
 
-  /** Age from which on the hosts that confirm before this one have failed to, or are cut off from the source. */
-  private standInAgeMs(): number {
+  /** Whether the hosts that confirm before this one have failed to, or are cut off from the source. */
+  private isDueAsStandIn(ageMs: number): boolean {
     const { schedule, sources } = this.parts;
-    return schedule.standInAgeMs(sources.readerRank(), sources.confirmationRank());
+    // The ranks take a pass over all known hosts, and are not needed at rest.
+    if (ageMs < schedule.fallbackAgeMs) return false;
+    return ageMs >= schedule.standInAgeMs(sources.readerRank(), sources.confirmationRank());
   }
 
   private mayStartExtra(): boolean {
