--- a/review/standins-3/harness.js
+++ b/review/standins-3/harness.js
@@ -67,15 +67,20 @@
 
 /** The platform's metadata store, as PROTOCOL.md describes it. */
 class Store {
-  constructor() {
+  constructor({ historyMs = 20_000 } = {}) {
+    this.historyMs = historyMs;
+    this.silenced = new WeakSet();
     this.items = new Map();
     this.history = [];
     this.revision = 100;
     this.compacted = 0;
     this.watches = new Set();
-    /** Whether the calls of a machine, by its address, are refused with 503. */
-    this.refuses = () => false;
+    this.sockets = new Set();
     this.server = http.createServer((request, response) => this.handle(request, response));
+    this.server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
   }
 
   async listen(ip = '127.0.0.1') {
@@ -112,19 +117,21 @@
     this.change({ key, revision: this.revision, deleted: true });
   }
 
-  /** Discards the history; waiting watches are cut. */
-  compact() {
-    this.history = [];
-    this.compacted = this.revision;
-    for (const watch of this.watches) {
-      clearTimeout(watch.timer);
-      watch.response.destroy();
-    }
+  /** From now on nothing more comes on the open connections; new ones work. */
+  silence() {
+    for (const watch of this.watches) clearTimeout(watch.timer);
     this.watches.clear();
+    for (const socket of this.sockets) this.silenced.add(socket);
+  }
+
+  dropOldHistory() {
+    const oldest = now() - this.historyMs;
+    while (this.history.length > 0 && this.history[0].at < oldest)
+      this.compacted = this.history.shift().item.revision;
   }
 
   change(item) {
-    this.history.push(item);
+    this.history.push({ at: now(), item });
     for (const watch of this.watches) {
       if (!item.key.startsWith(watch.prefix)) continue;
       clearTimeout(watch.timer);
@@ -134,9 +141,9 @@
   }
 
   answerWatch({ prefix, after, response }) {
-    const events = this.history.filter(
-      (item) => item.revision > after && item.key.startsWith(prefix),
-    );
+    const events = this.history
+      .map(({ item }) => item)
+      .filter((item) => item.revision > after && item.key.startsWith(prefix));
     Store.reply(response, 200, { events, as_of: this.revision });
   }
 
@@ -150,10 +157,8 @@
   }
 
   handle(request, response) {
-    if (this.refuses(request.socket.remoteAddress)) {
-      Store.reply(response, 503);
-      return;
-    }
+    if (this.silenced.has(request.socket)) return;
+    this.dropOldHistory();
     const url = new URL(request.url, 'http://store');
     const prefix = url.searchParams.get('prefix') ?? '';
     if (url.pathname === '/api/kv-range') {
@@ -182,7 +187,7 @@
     }
     const watch = { prefix, after, response };
     const hasEvents = this.history.some(
-      (item) => item.revision > after && item.key.startsWith(prefix),
+      ({ item }) => item.revision > after && item.key.startsWith(prefix),
     );
     if (hasEvents) {
       this.answerWatch(watch);
