End the processes of a case that is stopped or takes too long

Cause: a script that ended early left its machines running. Change: the harness kills them when it ends.

--- a/review/standins-3/harness.js
+++ b/review/standins-3/harness.js
@@ -462,6 +462,13 @@
     .replaceAll(/\{\{([^}]+)\}\}/g, (match, name) => String(values[name] ?? ''));
 }
 
+const children = new Set();
+
+// Also at the end of a case that took too long or was stopped.
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
+
 /** One machine of the system. */
 class Machine {
   constructor(name, journal, values) {
@@ -483,6 +490,7 @@
       env: { PATH: process.env.PATH, HOME: this.folder, LIMPETKNOT_NODE_FILE: file },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
+    children.add(this.child);
     const append = (chunk) => {
       this.output += chunk.toString('utf8');
     };
@@ -490,6 +498,7 @@
     this.child.stderr.on('data', append);
     this.exited = new Promise((resolve) => {
       this.child.once('close', (code, signal) => {
+        children.delete(this.child);
         this.journal.add(`process of ${this.name} has ended: ${code ?? signal}`);
         resolve(code ?? signal);
       });
@@ -614,6 +623,8 @@
   const hasTrouble = process.env.TROUBLE !== '0';
   journal.add(hasTrouble ? 'with the disruption' : 'without the disruption');
   const closers = [];
+  // eslint-disable-next-line n/no-process-exit
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => process.exit(2));
   const limit = setTimeout(() => {
     journal.add('the case took too long');
     // eslint-disable-next-line n/no-process-exit
